--- /dev/null
+++ b/scripts/check-format.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Fails when a source file is not formatted. With --fix it formats them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(--dry-run --Werror)
+[ "${1:-}" = --fix ] && mode=(-i)
+git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.h' 'bench/*.cpp' | xargs clang-format "${mode[@]}"
--- /dev/null
+++ b/scripts/check-layers.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Fails when a layer includes a header of a higher one. Layers from low to high.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+layers=(base state protocol coordination transport)
+status=0
+for i in "${!layers[@]}"; do
+    higher=("${layers[@]:i+1}" entry agent command)
+    pattern="#include \"($(IFS='|'; echo "${higher[*]}"))/"
+    if grep -rnE "$pattern" "src/${layers[i]}"; then
+        status=1
+    fi
+done
+for program in entry agent; do
+    others=(entry agent command)
+    pattern="#include \"($(printf '%s\n' "${others[@]}" | grep -v "^$program\$" | paste -sd'|'))/"
+    if grep -rnE "$pattern" "src/$program"; then
+        status=1
+    fi
+done
+[ $status -eq 0 ] || echo "check-layers: the lines above include a higher layer" >&2
+exit $status
--- /dev/null
+++ b/src/base/Clock.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+
+namespace hemlocklead {
+
+using Duration = std::chrono::milliseconds;
+using Instant = std::chrono::time_point<std::chrono::steady_clock, std::chrono::milliseconds>;
+
+/// Source of monotonic time, passed in so that tests drive the code with a manual clock.
+class Clock {
+public:
+    virtual ~Clock() = default;
+
+    /// Monotonic time of this host, in milliseconds. Not comparable between hosts.
+    virtual Instant now() const = 0;
+};
+
+/// Clock of the running process.
+class SystemClock final : public Clock {
+public:
+    Instant now() const override { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+};
+
+/// Clock that moves only when told to.
+class ManualClock final : public Clock {
+public:
+    Instant now() const override { return m_now; }
+
+    /// Moves the clock forward by `step`.
+    void advance(Duration step) { m_now += step; }
+
+private:
+    Instant m_now { Duration { 1'000'000 } };
+};
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/coordination/Placeholder.cpp
@@ -0,0 +1,2 @@
+namespace hemlocklead {
+}
--- /dev/null
+++ b/src/entry/EntrySettings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Result.h"
+#include "transport/Address.h"
+
+#include <string>
+#include <vector>
+
+namespace hemlocklead {
+
+/// Settings of an entry process. docs/settings.md describes each key.
+struct EntrySettings {
+    std::string name; ///< Unique among entries.
+    std::string dataCentre;
+    std::string region;
+    Address httpAddress; ///< For callers and operators.
+    Address peerAddress; ///< For agents and other entries.
+    Address logAddress;
+    std::vector<Address> peers; ///< Peer addresses of the other entries.
+    uint32_t shards { 8 }; ///< The same at every entry; never changed once jobs exist.
+
+    Duration controlPoll { 250 };
+    Duration startFreshness { 2000 }; ///< F
+    Duration shardAuthority { 5000 }; ///< D
+    Duration attemptLease { 20'000 }; ///< L
+    Duration driftMargin { 1000 };
+    Duration workerLease { 6000 }; ///< W
+    Duration ownerTimeout { 3000 };
+    Duration groupCommit { 20 };
+    Duration snapshotInterval { 60'000 };
+    Duration logRetention { 3'600'000 };
+    Duration resultRetention { 86'400'000 };
+    Duration drain { 2000 }; ///< Time between SIGTERM and closing the listener.
+    Duration keepalive { 8000 }; ///< Longest keepalive interval of agents, for liveness.
+
+    int64_t retryBudgetPercent { 10 };
+    bool hedging { true };
+};
+
+/// Parses the `[entry]` table of a TOML file. Fails with `InvalidSettings`; the message names file, line and key.
+Result<EntrySettings> parseEntrySettings(const std::string& file);
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/transport/Address.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/Result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace hemlocklead {
+
+/// IP number and port.
+struct Address {
+    std::string ip;
+    uint16_t port { 0 };
+
+    bool operator==(const Address&) const = default;
+
+    /// `IP:port`.
+    std::string text() const { return ip + ":" + std::to_string(port); }
+};
+
+/// Parses `IP:port` (IPv4 number). Fails with `InvalidRequest`; names are not resolved.
+Result<Address> parseAddress(std::string_view text);
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/transport/EventLoop.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <functional>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace hemlocklead {
+
+/// The process's single-threaded libevent loop. SIGPIPE is ignored while one exists.
+class EventLoop {
+public:
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop&) = delete;
+    EventLoop& operator=(const EventLoop&) = delete;
+
+    /// Runs until `stop`.
+    void run();
+
+    /// Leaves `run` after the current callbacks.
+    void stop();
+
+    /// Calls `handler` in the loop at each SIGTERM or SIGINT.
+    void onTerminate(std::function<void()> handler);
+
+    event_base* native() const { return m_base; }
+
+private:
+    event_base* m_base;
+    std::function<void()> m_onTerminate;
+    std::vector<event*> m_signals;
+};
+
+/// Timer of the loop. Destroying it cancels it. It may be restarted or destroyed inside its own callback.
+class Timer {
+public:
+    explicit Timer(EventLoop& loop);
+    ~Timer();
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+
+    /// Calls `callback` once after `delay`; replaces an earlier start.
+    void startOnce(Duration delay, std::function<void()> callback);
+
+    /// Calls `callback` every `interval`; replaces an earlier start.
+    void startRepeating(Duration interval, std::function<void()> callback);
+
+    void cancel();
+
+    /// Replaces the callback and keeps the time at which it is due.
+    void setCallback(std::function<void()> callback) { m_callback = std::move(callback); }
+
+private:
+    void arm(Duration delay);
+    static void fired(int, short, void* self);
+
+    event* m_event;
+    Duration m_interval { 0 };
+    std::function<void()> m_callback;
+};
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/transport/FrameConnection.cpp
@@ -0,0 +1,155 @@
+#include "transport/FrameConnection.h"
+
+#include "base/Log.h"
+#include "protocol/Codec.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace hemlocklead {
+
+namespace {
+
+    void disableNagle(int socket)
+    {
+        const int on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+
+    sockaddr_in nativeAddress(const Address& address)
+    {
+        sockaddr_in native {};
+        native.sin_family = AF_INET;
+        native.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &native.sin_addr);
+        return native;
+    }
+
+} // namespace
+
+FrameConnection::FrameConnection(EventLoop& loop, int socket)
+    : m_closeTimer(loop)
+{
+    initialize(loop, socket);
+}
+
+FrameConnection::FrameConnection(EventLoop& loop, const Address& address)
+    : m_closeTimer(loop)
+{
+    initialize(loop, -1);
+    const sockaddr_in native = nativeAddress(address);
+    if (bufferevent_socket_connect(m_native, reinterpret_cast<const sockaddr*>(&native), sizeof native) != 0)
+        m_closeTimer.startOnce(Duration { 0 }, [this] { close(); });
+}
+
+FrameConnection::~FrameConnection()
+{
+    *m_alive = false;
+    if (m_native)
+        bufferevent_free(m_native);
+}
+
+void FrameConnection::initialize(EventLoop& loop, int socket)
+{
+    m_native = bufferevent_socket_new(loop.native(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(m_native, &FrameConnection::onRead, nullptr, &FrameConnection::onEvent, this);
+    bufferevent_enable(m_native, EV_READ | EV_WRITE);
+    if (socket >= 0)
+        disableNagle(socket);
+}
+
+void FrameConnection::setCallbacks(Callbacks callbacks) { m_callbacks = std::move(callbacks); }
+
+void FrameConnection::send(const Message& message)
+{
+    if (!m_native)
+        return;
+    const std::string frame = encodeFrame(message);
+    if (frame.size() > maxFrameBytes + frameHeaderBytes) {
+        LogEvent(LogLevel::Error, "frame_too_large").field("bytes", static_cast<uint64_t>(frame.size()));
+        return;
+    }
+    m_bytesSent += frame.size();
+    bufferevent_write(m_native, frame.data(), frame.size());
+    if (evbuffer_get_length(bufferevent_get_output(m_native)) > maxPendingBytes)
+        m_closeTimer.startOnce(Duration { 0 }, [this] { close(); });
+}
+
+void FrameConnection::readFrames()
+{
+    const std::shared_ptr<bool> alive = m_alive;
+    while (*alive && m_native && readFrame()) { }
+}
+
+bool FrameConnection::readFrame()
+{
+    evbuffer* input = bufferevent_get_input(m_native);
+    const size_t available = evbuffer_get_length(input);
+    if (available < frameHeaderBytes)
+        return false;
+    char header[frameHeaderBytes];
+    evbuffer_copyout(input, header, frameHeaderBytes);
+    const size_t length = orElse(
+        [&] {
+            return parseFrameHeader({ header, frameHeaderBytes });
+        },
+        [](const Error&) { return maxFrameBytes + 1; });
+    if (length > maxFrameBytes) {
+        LogEvent(LogLevel::Warning, "frame_rejected").field("reason", "too large");
+        close();
+        return false;
+    }
+    if (available < frameHeaderBytes + length)
+        return false;
+    evbuffer_drain(input, frameHeaderBytes);
+    std::string payload(length, '\0');
+    evbuffer_remove(input, payload.data(), length);
+    m_bytesReceived += frameHeaderBytes + length;
+
+    Message message;
+    const ErrorKind verdict = orElse(
+        [&]() -> Result<ErrorKind> {
+            BOOST_LEAF_ASSIGN(message, decodePayload(payload));
+            return ErrorKind::Internal; // stands for "no error"
+        },
+        [](const Error& error) {
+            LogEvent(LogLevel::Warning, "frame_rejected").field("reason", error.message);
+            return error.kind;
+        });
+    if (verdict == ErrorKind::Protocol) {
+        close();
+        return false;
+    }
+    if (verdict == ErrorKind::Internal && m_callbacks.onMessage)
+        m_callbacks.onMessage(std::move(message));
+    return true;
+}
+
+void FrameConnection::close()
+{
+    if (!m_native)
+        return;
+    bufferevent_free(m_native);
+    m_native = nullptr;
+    const std::function<void()> onClosed = m_callbacks.onClosed;
+    if (onClosed)
+        onClosed();
+}
+
+void FrameConnection::onRead(bufferevent*, void* self) { static_cast<FrameConnection*>(self)->readFrames(); }
+
+void FrameConnection::onEvent(bufferevent* native, short what, void* self)
+{
+    auto* connection = static_cast<FrameConnection*>(self);
+    if (what & BEV_EVENT_CONNECTED)
+        disableNagle(bufferevent_getfd(native));
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+        connection->close();
+}
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/transport/FrameConnection.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "protocol/Messages.h"
+#include "transport/Address.h"
+#include "transport/EventLoop.h"
+
+#include <functional>
+#include <memory>
+
+struct bufferevent;
+
+namespace hemlocklead {
+
+/// One TCP connection that carries frames. A frame that fails the codec's check closes it.
+///
+/// Callbacks run from the loop, never from inside `send`. `onClosed` is called at most once, and nothing after it.
+/// The owner may destroy the connection inside either callback.
+class FrameConnection {
+public:
+    struct Callbacks {
+        std::function<void(Message)> onMessage;
+        std::function<void()> onClosed;
+    };
+
+    /// Most bytes that may wait for a slow reader before the connection is closed.
+    static constexpr size_t maxPendingBytes = 32 * 1024 * 1024;
+
+    /// Takes over a connected socket.
+    FrameConnection(EventLoop& loop, int socket);
+
+    /// Starts to connect; messages sent meanwhile are queued.
+    FrameConnection(EventLoop& loop, const Address& address);
+    ~FrameConnection();
+    FrameConnection(const FrameConnection&) = delete;
+    FrameConnection& operator=(const FrameConnection&) = delete;
+
+    void setCallbacks(Callbacks callbacks);
+
+    /// Queues a message. Does nothing once the connection has closed.
+    void send(const Message& message);
+
+    bool isOpen() const { return m_native != nullptr; }
+
+    /// Bytes sent and received so far, frames included.
+    uint64_t bytesSent() const { return m_bytesSent; }
+    uint64_t bytesReceived() const { return m_bytesReceived; }
+
+private:
+    void initialize(EventLoop& loop, int socket);
+    void readFrames();
+    bool readFrame();
+    void close();
+    static void onRead(bufferevent*, void* self);
+    static void onEvent(bufferevent*, short what, void* self);
+
+    bufferevent* m_native { nullptr };
+    Timer m_closeTimer;
+    Callbacks m_callbacks;
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+    uint64_t m_bytesSent { 0 };
+    uint64_t m_bytesReceived { 0 };
+};
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/transport/HttpServer.cpp
@@ -0,0 +1,123 @@
+#include "transport/HttpServer.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <array>
+
+namespace hemlocklead {
+
+namespace {
+
+    struct MethodName {
+        evhttp_cmd_type type;
+        const char* name;
+    };
+
+    constexpr std::array<MethodName, 7> methods { {
+        { EVHTTP_REQ_GET, "GET" },
+        { EVHTTP_REQ_POST, "POST" },
+        { EVHTTP_REQ_PUT, "PUT" },
+        { EVHTTP_REQ_DELETE, "DELETE" },
+        { EVHTTP_REQ_HEAD, "HEAD" },
+        { EVHTTP_REQ_PATCH, "PATCH" },
+        { EVHTTP_REQ_OPTIONS, "OPTIONS" },
+    } };
+
+    HttpRequest parseNative(evhttp_request* native)
+    {
+        HttpRequest request;
+        for (const MethodName& method : methods) {
+            if (method.type == evhttp_request_get_command(native))
+                request.method = method.name;
+        }
+        request.path = evhttp_request_get_uri(native);
+        const evkeyvalq* headers = evhttp_request_get_input_headers(native);
+        for (const evkeyval* header = headers->tqh_first; header; header = header->next.tqe_next)
+            request.headers.push_back({ header->key, header->value });
+        evbuffer* input = evhttp_request_get_input_buffer(native);
+        request.body.resize(evbuffer_get_length(input));
+        evbuffer_copyout(input, request.body.data(), request.body.size());
+        return request;
+    }
+
+} // namespace
+
+HttpResponder::HttpResponder(evhttp_request* request)
+    : m_request(request)
+{
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), &HttpResponder::connectionClosed, this);
+}
+
+HttpResponder::~HttpResponder() { reply(errorResponse({ ErrorKind::Internal, "request was dropped" })); }
+
+void HttpResponder::reply(const HttpResponse& response)
+{
+    if (!m_request)
+        return;
+    evhttp_request* request = m_request;
+    m_request = nullptr;
+    if (evhttp_connection* connection = evhttp_request_get_connection(request))
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    for (const HeaderField& header : response.headers)
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    evbuffer* body = evbuffer_new();
+    evbuffer_add(body, response.body.data(), response.body.size());
+    // Frees the request, also when its connection has closed.
+    evhttp_send_reply(request, response.status, nullptr, body);
+    evbuffer_free(body);
+}
+
+void HttpResponder::connectionClosed(evhttp_connection*, void* self)
+{
+    auto* responder = static_cast<HttpResponder*>(self);
+    responder->m_gone = true;
+    // The library detaches the request from a connection that the caller closed and leaves it to us, but frees it
+    // itself while the server is being destroyed.
+    if (responder->m_request && evhttp_request_get_connection(responder->m_request))
+        responder->m_request = nullptr;
+    const std::function<void()> onGone = std::move(responder->m_onGone);
+    if (onGone)
+        onGone();
+}
+
+HttpServer::HttpServer(EventLoop& loop, Handler handler)
+    : m_native(evhttp_new(loop.native()))
+    , m_handler(std::move(handler))
+{
+    evhttp_set_max_body_size(m_native, maxBodyBytes);
+    evhttp_set_max_headers_size(m_native, maxHeaderBytes);
+    evhttp_set_allowed_methods(m_native,
+        EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH
+            | EVHTTP_REQ_OPTIONS);
+    evhttp_set_gencb(m_native, &HttpServer::received, this);
+}
+
+HttpServer::~HttpServer() { evhttp_free(m_native); }
+
+Result<void> HttpServer::listen(const Address& address)
+{
+    m_socket = evhttp_bind_socket_with_handle(m_native, address.ip.c_str(), address.port);
+    if (!m_socket)
+        return fail(ErrorKind::InvalidSettings, "cannot listen on " + address.text());
+    return {};
+}
+
+void HttpServer::stopAccepting()
+{
+    if (m_socket)
+        evhttp_del_accept_socket(m_native, m_socket);
+    m_socket = nullptr;
+}
+
+void HttpServer::received(evhttp_request* request, void* self)
+{
+    auto* server = static_cast<HttpServer*>(self);
+    if (server->m_closeAfterReply)
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    server->m_handler(parseNative(request), std::make_shared<HttpResponder>(request));
+}
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/transport/HttpServer.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "protocol/Http.h"
+#include "transport/Address.h"
+#include "transport/EventLoop.h"
+
+#include <functional>
+#include <memory>
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace hemlocklead {
+
+/// Answers one request, once, now or later. If the caller has gone the answer is dropped.
+class HttpResponder {
+public:
+    explicit HttpResponder(evhttp_request* request);
+    ~HttpResponder();
+    HttpResponder(const HttpResponder&) = delete;
+    HttpResponder& operator=(const HttpResponder&) = delete;
+
+    /// Sends the response; later calls do nothing.
+    void reply(const HttpResponse& response);
+
+    /// Whether the caller has closed its connection.
+    bool isGone() const { return m_gone; }
+
+    /// Called once if the caller goes away before the reply.
+    void onGone(std::function<void()> handler) { m_onGone = std::move(handler); }
+
+private:
+    static void connectionClosed(evhttp_connection*, void* self);
+
+    evhttp_request* m_request;
+    bool m_gone { false };
+    std::function<void()> m_onGone;
+};
+
+/// HTTP server on evhttp. Bodies over `maxBodyBytes` get 413, malformed requests 400.
+class HttpServer {
+public:
+    using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+    HttpServer(EventLoop& loop, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Binds and listens; fails with `InvalidSettings`.
+    Result<void> listen(const Address& address);
+
+    /// Stops accepting connections; those that are open go on.
+    void stopAccepting();
+
+    /// Asks clients to close their connection with the next reply.
+    void closeAfterReply() { m_closeAfterReply = true; }
+
+private:
+    static void received(evhttp_request* request, void* self);
+
+    evhttp* m_native;
+    evhttp_bound_socket* m_socket { nullptr };
+    Handler m_handler;
+    bool m_closeAfterReply { false };
+};
+
+} // namespace hemlocklead
--- /dev/null
+++ b/tests/unit/CodecTest.cpp
@@ -0,0 +1,62 @@
+#include "protocol/Codec.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlocklead {
+namespace {
+
+    class CodecTest : public testing::Test {
+    protected:
+        static ErrorKind decodeError(std::string_view payload)
+        {
+            return orElse(
+                [&]() -> Result<ErrorKind> {
+                    BOOST_LEAF_CHECK(decodePayload(payload));
+                    return ErrorKind::Internal;
+                },
+                [](const Error& error) { return error.kind; });
+        }
+    };
+
+    // Guards against fields lost between two processes.
+    TEST_F(CodecTest, codec_roundTrip_keepsFields)
+    {
+        Start start;
+        start.key = { "job-1", 2, 3 };
+        start.lease = Duration { 20'000 };
+        start.checkpoint = std::string("\x00\xff token", 8);
+        const std::string frame = encodeFrame(start);
+        const Message decoded = orElse([&] { return decodePayload(std::string_view(frame).substr(frameHeaderBytes)); },
+            [](const Error&) { return Message {}; });
+        ASSERT_TRUE(std::holds_alternative<Start>(decoded));
+        EXPECT_EQ(std::get<Start>(decoded).key, start.key);
+        EXPECT_EQ(std::get<Start>(decoded).lease, start.lease);
+        EXPECT_EQ(std::get<Start>(decoded).checkpoint, start.checkpoint);
+    }
+
+    // Guards against stack exhaustion by a hostile frame.
+    TEST_F(CodecTest, codec_deepNesting_isRejected)
+    {
+        std::string payload = "\x81\xa1x";
+        payload.append(100'000, '\x91');
+        payload += '\x01';
+        EXPECT_EQ(decodeError(payload), ErrorKind::Protocol);
+    }
+
+    // Guards against reading past the end of a truncated frame.
+    TEST_F(CodecTest, codec_truncatedPayload_isRejected)
+    {
+        const std::string frame = encodeFrame(Hello { "h", "d", "r", 1, 1 });
+        for (size_t length = 0; length + frameHeaderBytes < frame.size(); ++length)
+            EXPECT_EQ(decodeError(std::string_view(frame).substr(frameHeaderBytes, length)), ErrorKind::Protocol)
+                << length;
+    }
+
+    // Guards against a newer version's message breaking the connection.
+    TEST_F(CodecTest, codec_unknownType_isToldApart)
+    {
+        EXPECT_EQ(decodeError("\x81\xa1t\xa6newest"), ErrorKind::NotFound);
+    }
+
+} // namespace
+} // namespace hemlocklead
