Fold the control and shard streams

Cause: the headers of the state layer had no implementation, and the other parts link against it. Additions to the headers: JobState::remaining, maxTasksPerJob and the JSON form of JobSpec. Moving the governing role to an owner without an entry is void, because nobody could move it back.

--- /dev/null
+++ b/src/state/Catalogue.cpp
@@ -0,0 +1,116 @@
+#include "state/Catalogue.h"
+
+#include <algorithm>
+#include <array>
+#include <span>
+
+namespace hemlocklead {
+
+namespace {
+
+    /// Largest value of a limit. Sums of a million such limits still fit 64 bits.
+    constexpr int64_t maxLimit = 1'000'000'000'000;
+
+    constexpr std::array<std::string_view, 5> entryFields { "owner", "team", "service", "workClass", "limits" };
+    constexpr std::array<std::string_view, 3> resourceFields { "cpuMilli", "memoryMib", "accelerators" };
+    constexpr std::array<std::string_view, 2> resourceLimits { "perTask", "teamQuota" };
+    constexpr std::array<std::string_view, 6> numberLimits { "maxRunning", "maxQueuedTasks", "maxAttempts",
+        "maxInFlight", "maxQueued", "timeoutMs" };
+    constexpr std::string_view urgentField = "urgent";
+
+    bool contains(std::span<const std::string_view> names, std::string_view name)
+    {
+        return std::ranges::find(names, name) != names.end();
+    }
+
+    boost::leaf::error_id invalid(std::string_view field, std::string_view problem)
+    {
+        return fail(ErrorKind::InvalidRequest, std::string(field) + ": " + std::string(problem));
+    }
+
+    Result<void> checkLimit(const std::string& field, const Json& value)
+    {
+        if (!value.is_number_integer())
+            return invalid(field, "must be a whole number");
+        if (value.is_number_unsigned() ? value.get<uint64_t>() > maxLimit : value.get<int64_t>() < 0)
+            return invalid(field, "must be from 0 to " + std::to_string(maxLimit));
+        return {};
+    }
+
+    Result<void> checkResources(const std::string& field, const Json& value)
+    {
+        if (!value.is_object())
+            return invalid(field, "must be an object");
+        for (const auto& [name, amount] : value.items()) {
+            const std::string path = field + '.' + name;
+            if (!contains(resourceFields, name))
+                return invalid(path, "unknown field");
+            BOOST_LEAF_CHECK(checkLimit(path, amount));
+        }
+        return {};
+    }
+
+    Result<void> checkLimits(const Json& limits)
+    {
+        if (!limits.is_object())
+            return invalid("limits", "must be an object");
+        for (const auto& [name, value] : limits.items()) {
+            const std::string path = "limits." + name;
+            if (contains(resourceLimits, name)) {
+                BOOST_LEAF_CHECK(checkResources(path, value));
+            } else if (contains(numberLimits, name)) {
+                BOOST_LEAF_CHECK(checkLimit(path, value));
+            } else if (name != urgentField) {
+                return invalid(path, "unknown field");
+            } else if (!value.is_boolean()) {
+                return invalid(path, "must be true or false");
+            }
+        }
+        return {};
+    }
+
+    Result<void> checkWorkClass(const Json& value)
+    {
+        if (Json(value.get<WorkClass>()) != value)
+            return invalid("workClass", "must be answer-now, can-wait or standing watch");
+        return {};
+    }
+
+    Result<void> checkField(const std::string& name, const Json& value)
+    {
+        if (!contains(entryFields, name))
+            return invalid(name, "unknown field");
+        if (name == "limits")
+            return checkLimits(value);
+        if (!value.is_string())
+            return invalid(name, "must be a text");
+        if (name == "workClass")
+            return checkWorkClass(value);
+        return {};
+    }
+
+} // namespace
+
+const CatalogueEntry* CatalogueItem::governing() const { return entryOf(governingOwner); }
+
+const CatalogueEntry* CatalogueItem::entryOf(std::string_view owner) const
+{
+    const auto found = std::ranges::find(entries, owner, &CatalogueEntry::owner);
+    return found == entries.end() ? nullptr : &*found;
+}
+
+Result<CatalogueEntry> parseCatalogueEntry(const Json& json)
+{
+    if (!json.is_object())
+        return invalid("entry", "must be an object");
+    for (const auto& [name, value] : json.items())
+        BOOST_LEAF_CHECK(checkField(name, value));
+    BOOST_LEAF_AUTO(entry, fromJson<CatalogueEntry>(json));
+    if (entry.owner.empty())
+        return invalid("owner", "missing");
+    if (entry.team.empty())
+        return invalid("team", "missing");
+    return entry;
+}
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/state/ControlState.cpp
@@ -0,0 +1,197 @@
+#include "state/ControlState.h"
+
+#include "state/RecordFields.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace hemlocklead {
+
+namespace {
+
+    constexpr size_t maxHistory = 64;
+
+    /// Notes of data centres stand beside those of catalogue names; no catalogue name contains a slash.
+    constexpr std::string_view dataCentreHistory = "datacentre/";
+
+    bool isCatalogueName(const std::string* name) { return name && name->find('/') == std::string::npos; }
+
+    /// Entry of a record. Fields that a newer version added are ignored here, unlike in an operator's edit.
+    std::optional<CatalogueEntry> recordedEntry(const Json& record, std::string_view owner)
+    {
+        const auto found = record.find("entry");
+        if (found == record.end() || !found->is_object())
+            return std::nullopt;
+        auto entry = orElse(
+            [&]() -> Result<std::optional<CatalogueEntry>> {
+                BOOST_LEAF_AUTO(parsed, fromJson<CatalogueEntry>(*found));
+                return parsed;
+            },
+            [](const Error&) { return std::optional<CatalogueEntry>(); });
+        if (!entry || entry->owner != owner || entry->team.empty())
+            return std::nullopt;
+        return entry;
+    }
+
+    template <typename Map> auto* valueOf(Map& map, std::string_view key)
+    {
+        const auto found = map.find(key);
+        return found == map.end() ? nullptr : &found->second;
+    }
+
+    void setEntry(CatalogueItem& item, CatalogueEntry entry)
+    {
+        const auto found = std::ranges::find(item.entries, entry.owner, &CatalogueEntry::owner);
+        if (found == item.entries.end())
+            item.entries.push_back(std::move(entry));
+        else
+            *found = std::move(entry);
+    }
+
+} // namespace
+
+FoldResult ControlState::fold(uint64_t offset, const Json& record)
+{
+    if (!record.is_object())
+        return FoldResult::Malformed;
+    const std::string* kind = textField(record, "kind");
+    if (!kind)
+        return FoldResult::Malformed;
+    if (*kind == "catalogue_set")
+        return foldSet(offset, record);
+    if (*kind == "catalogue_govern")
+        return foldGovern(offset, record);
+    if (*kind == "datacentre_set")
+        return foldDataCentre(offset, record);
+    return FoldResult::Unknown;
+}
+
+FoldResult ControlState::foldSet(uint64_t offset, const Json& record)
+{
+    const std::string* name = nameField(record, "name");
+    const std::string* owner = nameField(record, "owner");
+    const auto base = numberField(record, "base_version");
+    if (!isCatalogueName(name) || !owner || !base)
+        return FoldResult::Malformed;
+    auto entry = recordedEntry(record, *owner);
+    if (!entry)
+        return FoldResult::Malformed;
+    const CatalogueItem* known = item(*name);
+    if (*base != (known ? known->version : 0))
+        return FoldResult::Conflict;
+    CatalogueItem& changed = m_items[*name];
+    if (!known) {
+        changed.name = *name;
+        changed.governingOwner = *owner;
+    }
+    ++changed.version;
+    setEntry(changed, std::move(*entry));
+    m_itemOffsets[*name] = offset;
+    note(*name, { offset, *name, changed.version, *owner, "entry of " + *owner + " set" });
+    return FoldResult::Applied;
+}
+
+FoldResult ControlState::foldGovern(uint64_t offset, const Json& record)
+{
+    const std::string* name = nameField(record, "name");
+    const std::string* by = nameField(record, "by");
+    const std::string* owner = nameField(record, "owner");
+    const auto base = numberField(record, "base_version");
+    if (!isCatalogueName(name) || !by || !owner || !base)
+        return FoldResult::Malformed;
+    CatalogueItem* known = valueOf(m_items, *name);
+    if (!known || *base != known->version)
+        return FoldResult::Conflict;
+    // An owner without an entry could never be governed away from again, and the name would have no entry in force.
+    if (known->governingOwner != *by || !known->entryOf(*owner))
+        return FoldResult::NotGoverning;
+    known->governingOwner = *owner;
+    ++known->version;
+    m_itemOffsets[*name] = offset;
+    note(*name, { offset, *name, known->version, *by, "governing role moved to " + *owner });
+    return FoldResult::Applied;
+}
+
+FoldResult ControlState::foldDataCentre(uint64_t offset, const Json& record)
+{
+    const std::string* name = nameField(record, "name");
+    const std::string* state = textField(record, "state");
+    const auto base = numberField(record, "base_version");
+    if (!name || !state || !base || (*state != "in" && *state != "out"))
+        return FoldResult::Malformed;
+    const DataCentre* known = valueOf(m_dataCentres, *name);
+    if (*base != (known ? known->version : 0))
+        return FoldResult::Conflict;
+    DataCentre& changed = m_dataCentres[*name];
+    changed.name = *name;
+    changed.out = *state == "out";
+    ++changed.version;
+    m_dataCentreOffsets[*name] = offset;
+    note(std::string(dataCentreHistory) + *name,
+        { offset, *name, changed.version, textOrEmpty(record, "by"), "data centre " + *state });
+    return FoldResult::Applied;
+}
+
+void ControlState::note(const std::string& key, EditNote edit)
+{
+    std::vector<EditNote>& notes = m_history[key];
+    if (notes.size() == maxHistory)
+        notes.erase(notes.begin());
+    notes.push_back(std::move(edit));
+}
+
+void ControlState::advanceTo(uint64_t nextOffset) { m_nextOffset = std::max(m_nextOffset, nextOffset); }
+
+const CatalogueItem* ControlState::item(std::string_view name) const { return valueOf(m_items, name); }
+
+bool ControlState::isOut(std::string_view dataCentre) const
+{
+    const DataCentre* known = valueOf(m_dataCentres, dataCentre);
+    return known && known->out;
+}
+
+std::vector<EditNote> ControlState::history(std::string_view name) const
+{
+    const std::vector<EditNote>* notes = valueOf(m_history, name);
+    return notes ? *notes : std::vector<EditNote>();
+}
+
+ControlDelta ControlState::deltaSince(uint64_t offset) const
+{
+    ControlDelta delta;
+    delta.through = m_nextOffset;
+    for (const auto& [name, changedAt] : m_itemOffsets) {
+        if (changedAt >= offset)
+            delta.items.push_back(m_items.at(name));
+    }
+    for (const auto& [name, changedAt] : m_dataCentreOffsets) {
+        if (changedAt >= offset)
+            delta.dataCentres.push_back(m_dataCentres.at(name));
+    }
+    return delta;
+}
+
+void ControlState::apply(const ControlDelta& delta)
+{
+    if (delta.through <= m_nextOffset)
+        return;
+    // The exact offsets of the edits are not in a delta. The last one possible makes later deltas complete.
+    const uint64_t changedAt = delta.through - 1;
+    for (const CatalogueItem& changed : delta.items) {
+        const CatalogueItem* known = item(changed.name);
+        if (known && known->version >= changed.version)
+            continue;
+        m_items.insert_or_assign(changed.name, changed);
+        m_itemOffsets.insert_or_assign(changed.name, changedAt);
+    }
+    for (const DataCentre& changed : delta.dataCentres) {
+        const DataCentre* known = valueOf(m_dataCentres, changed.name);
+        if (known && known->version >= changed.version)
+            continue;
+        m_dataCentres.insert_or_assign(changed.name, changed);
+        m_dataCentreOffsets.insert_or_assign(changed.name, changedAt);
+    }
+    m_nextOffset = delta.through;
+}
+
+} // namespace hemlocklead
--- a/src/state/ControlState.h
+++ b/src/state/ControlState.h
@@ -58,7 +58,7 @@
     bool isOut(std::string_view dataCentre) const;
     const std::map<std::string, DataCentre, std::less<>>& dataCentres() const { return m_dataCentres; }
 
-    /// Last edits, oldest first, at most 64 per name.
+    /// Last edits of a catalogue name, or of a data centre as `datacentre/NAME`; oldest first, at most 64 per name.
     std::vector<EditNote> history(std::string_view name) const;
 
     /// All that changed at or after `offset`.
@@ -75,6 +75,11 @@
 private:
     friend Result<ControlState> parseControlState(const Json& json);
 
+    FoldResult foldSet(uint64_t offset, const Json& record);
+    FoldResult foldGovern(uint64_t offset, const Json& record);
+    FoldResult foldDataCentre(uint64_t offset, const Json& record);
+    void note(const std::string& key, EditNote edit);
+
     uint64_t m_nextOffset { 0 };
     std::map<std::string, CatalogueItem, std::less<>> m_items;
     std::map<std::string, DataCentre, std::less<>> m_dataCentres;
--- a/src/state/ShardState.h
+++ b/src/state/ShardState.h
@@ -56,6 +56,9 @@
     { { JobPhase::Active, "active" }, { JobPhase::Finished, "finished" }, { JobPhase::Failed, "failed" },
         { JobPhase::Cancelled, "cancelled" } })
 
+/// Most tasks of one job; a record with more is malformed, so that no single record can exhaust the memory.
+constexpr uint32_t maxTasksPerJob = 100'000;
+
 /// What the caller asked for, as recorded in `accepted`.
 struct JobSpec {
     std::string id;
@@ -71,6 +74,7 @@
     JobSpec spec;
     JobPhase phase { JobPhase::Active };
     std::vector<TaskState> tasks;
+    uint32_t remaining { 0 }; ///< Tasks in phase Waiting or Assigned.
     int64_t endedAtUnixMs { 0 };
 
     bool operator==(const JobState&) const = default;
@@ -102,6 +106,20 @@
 
 private:
     friend Result<ShardState> parseShardState(const Json& json);
+    using Fold = FoldResult (ShardState::*)(const Json& record);
+    struct NamedFold;
+
+    static const NamedFold folds[];
+
+    FoldResult foldClaim(const Json& record);
+    FoldResult foldRelease(const Json& record);
+    FoldResult foldAccepted(const Json& record);
+    FoldResult foldAssigned(const Json& record);
+    FoldResult foldCheckpoint(const Json& record);
+    FoldResult foldEnded(const Json& record);
+    FoldResult foldCancelled(const Json& record);
+    FoldResult foldForgotten(const Json& record);
+    JobState* findJob(const Json& record);
 
     uint64_t m_nextOffset { 0 };
     ShardClaim m_claim;
@@ -110,6 +128,8 @@
 
 Result<ShardState> parseShardState(const Json& json);
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobSpec, id, task, tasks, maxAttempts, acceptedAtUnixMs)
+
 /// Records of a shard stream. `epoch` is that of the writer.
 Json claimRecord(const ShardClaim& claim);
 Json releaseRecord(uint64_t epoch);
