--- a/src/protocol/MessageJson.h
+++ b/src/protocol/MessageJson.h
@@ -32,7 +32,7 @@
 HEMLOCKLEAD_JSON(PeerPing, entry, address, incarnation, sequence, serving, leaving, controlOffset, owned)
 HEMLOCKLEAD_JSON(PeerPong, entry, sequence)
 HEMLOCKLEAD_JSON(StateRequest, sequence)
-HEMLOCKLEAD_JSON(StateReply, sequence, serving, state)
+HEMLOCKLEAD_JSON(StateReply, sequence, serving, offset, state)
 HEMLOCKLEAD_JSON(Forward, id, method, path, body, traceparent)
 HEMLOCKLEAD_JSON(ForwardReply, id, status, body, outcome)
 
--- a/src/protocol/Messages.h
+++ b/src/protocol/Messages.h
@@ -228,6 +228,7 @@
 struct StateReply {
     uint64_t sequence { 0 };
     bool serving { false };
+    uint64_t offset { 0 }; ///< Next control offset of `state`.
     std::string state; ///< ControlState as JSON text.
 };
 
