--- a/src/coordination/JobQueue.cpp
+++ b/src/coordination/JobQueue.cpp
@@ -46,6 +46,15 @@
     m_jobs.erase(found);
 }
 
+void JobQueue::clear()
+{
+    m_withWaiting.clear();
+    m_jobs.clear();
+    m_usage.clear();
+    m_waitingByName.clear();
+    m_waiting = 0;
+}
+
 void JobQueue::push(const QueuedTask& task, Instant notBefore)
 {
     const auto found = m_jobs.find(task.job);
@@ -56,7 +65,7 @@
         return;
     ++m_waiting;
     ++m_waitingByName[entry.job.name];
-    m_withWaiting.insert(task.job);
+    m_withWaiting[task.job] = &entry;
 }
 
 std::optional<QueuedTask> JobQueue::next(Instant now)
@@ -70,15 +79,14 @@
     };
     Entry* best = nullptr;
     Order bestOrder;
-    for (const std::string& id : m_withWaiting) {
-        Entry& entry = m_jobs.at(id);
-        if (!isEligible(entry, now))
+    for (const auto& [id, entry] : m_withWaiting) {
+        if (!isReady(*entry, now))
             continue;
-        const Order order { shareOfTeam(entry.job.team), entry.job.acceptedAtUnixMs };
-        const bool sameUrgency = best && best->job.urgent == entry.job.urgent;
-        const bool better = !best || (sameUrgency ? order < bestOrder : entry.job.urgent);
-        if (better) {
-            best = &entry;
+        const Order order { shareOfTeam(entry->job.team), entry->job.acceptedAtUnixMs };
+        const bool sameUrgency = best && best->job.urgent == entry->job.urgent;
+        const bool better = !best || (sameUrgency ? order < bestOrder : entry->job.urgent);
+        if (better && mayRun(entry->job)) {
+            best = entry;
             bestOrder = order;
         }
     }
@@ -144,10 +152,9 @@
 std::vector<std::pair<std::string, std::string>> JobQueue::unplaceable() const
 {
     std::vector<std::pair<std::string, std::string>> jobs;
-    for (const std::string& id : m_withWaiting) {
-        const Entry& entry = m_jobs.at(id);
-        if (!entry.unplaceable.empty())
-            jobs.emplace_back(id, entry.unplaceable);
+    for (const auto& [id, entry] : m_withWaiting) {
+        if (!entry->unplaceable.empty())
+            jobs.emplace_back(id, entry->unplaceable);
     }
     return jobs;
 }
@@ -155,8 +162,8 @@
 std::vector<std::string> JobQueue::waitingWatches() const
 {
     std::vector<std::string> jobs;
-    for (const std::string& id : m_withWaiting) {
-        if (m_jobs.at(id).job.watch)
+    for (const auto& [id, entry] : m_withWaiting) {
+        if (entry->job.watch)
             jobs.push_back(id);
     }
     return jobs;
@@ -183,7 +190,7 @@
     return belowCount && isWithin(usage.resources + job.resources, limits->teamQuota);
 }
 
-bool JobQueue::isEligible(Entry& entry, Instant now)
+bool JobQueue::isReady(Entry& entry, Instant now)
 {
     if (!entry.unplaceable.empty() || now < entry.heldUntil)
         return false;
@@ -191,7 +198,7 @@
         entry.ready.insert(entry.backingOff.begin()->second);
         entry.backingOff.erase(entry.backingOff.begin());
     }
-    return !entry.ready.empty() && mayRun(entry.job);
+    return !entry.ready.empty();
 }
 
 double JobQueue::shareOf(std::string_view name, const Usage& usage) const
--- a/src/coordination/JobQueue.h
+++ b/src/coordination/JobQueue.h
@@ -51,6 +51,9 @@
     /// Forgets the job and its waiting tasks. Its running tasks count until `noteEnded`.
     void removeJob(const std::string& id);
 
+    /// Forgets all jobs and counts.
+    void clear();
+
     /// Adds a waiting task that is not handed out before `notBefore`.
     void push(const QueuedTask& task, Instant notBefore);
 
@@ -99,13 +102,13 @@
     using Order = std::pair<double, int64_t>; ///< Share of the team, age.
 
     bool mayRun(const QueuedJob& job) const;
-    bool isEligible(Entry& entry, Instant now);
+    static bool isReady(Entry& entry, Instant now);
     double shareOf(std::string_view name, const Usage& usage) const;
 
     LimitsOf m_limitsOf;
     Resources m_capacity;
     std::map<std::string, Entry> m_jobs;
-    std::set<std::string> m_withWaiting; ///< Jobs that have waiting tasks.
+    std::map<std::string, Entry*> m_withWaiting; ///< Jobs that have waiting tasks.
     std::map<std::string, Usage, std::less<>> m_usage; ///< By catalogue entry.
     std::map<std::string, size_t, std::less<>> m_waitingByName;
     size_t m_waiting { 0 };
--- a/src/coordination/ShardAuthority.cpp
+++ b/src/coordination/ShardAuthority.cpp
@@ -8,11 +8,6 @@
 
 namespace hemlocklead {
 
-uint32_t shardOfTeam(std::string_view team, uint32_t shards)
-{
-    return static_cast<uint32_t>(XXH3_64bits(team.data(), team.size()) % shards);
-}
-
 uint64_t rendezvousRank(std::string_view entry, uint32_t shard)
 {
     const std::string key = std::string(entry) + "/" + std::to_string(shard);
--- a/src/coordination/ShardAuthority.h
+++ b/src/coordination/ShardAuthority.h
@@ -17,9 +17,6 @@
     Instant heardAt;
 };
 
-/// Shard of a team's jobs.
-uint32_t shardOfTeam(std::string_view team, uint32_t shards);
-
 /// Rank of an entry for a shard; the highest among the live entries takes an ownerless shard.
 uint64_t rendezvousRank(std::string_view entry, uint32_t shard);
 
--- a/src/entry/HostTable.cpp
+++ b/src/entry/HostTable.cpp
@@ -38,6 +38,7 @@
     record.leaving = false;
     record.stamp = Stamp {};
     record.asked.clear();
+    record.held.clear();
     ++m_version;
 }
 
@@ -109,6 +110,12 @@
     return record->stamp;
 }
 
+std::optional<Stamp> HostTable::listedAt(std::string_view host, const AttemptKey& key) const
+{
+    const Record* record = find(host);
+    return record && record->held.contains(key) ? stampOf(host) : std::nullopt;
+}
+
 std::optional<HostLocation> HostTable::locationOf(std::string_view host) const
 {
     if (!m_index.contains(host))
--- a/src/entry/HostTable.h
+++ b/src/entry/HostTable.h
@@ -51,6 +51,9 @@
     /// Newest stamp of the connected agent.
     std::optional<Stamp> stampOf(std::string_view host) const;
 
+    /// Newest stamp of the agent if it listed the attempt over its current connection, else nullopt.
+    std::optional<Stamp> listedAt(std::string_view host, const AttemptKey& key) const;
+
     /// Nullopt for a host that never connected to this entry.
     std::optional<HostLocation> locationOf(std::string_view host) const;
 
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -45,6 +45,7 @@
 private:
     class Core;
     std::shared_ptr<Core> m_core;
+    AgentHub& m_agents;
 };
 
 } // namespace hemlocklead
--- /dev/null
+++ b/src/entry/TaskPlacer.cpp
@@ -0,0 +1,240 @@
+#include "entry/TaskPlacer.h"
+
+#include "base/Log.h"
+#include "entry/JobId.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hemlocklead {
+
+namespace {
+
+    constexpr Duration reserveTimeout { 2000 };
+    constexpr Duration holdBackTime { 100 }; ///< Of a job that finds no room.
+    constexpr Duration refusedDelay { 50 };
+    constexpr Duration avoidTime { 1000 }; ///< Of a host that refuses for another reason than room.
+    constexpr Duration evictionTime { 3000 }; ///< In which an eviction should have made room.
+    constexpr size_t placementsPerTick = 200; ///< Keeps one tick short.
+    constexpr size_t evictionsPerRound = 32;
+
+} // namespace
+
+TaskPlacer::TaskPlacer(
+    ShardLog& log, const ShardEnvironment& environment, JobQueue& queue, AttemptTracker& attempts)
+    : m_log(log)
+    , m_environment(environment)
+    , m_queue(queue)
+    , m_attempts(attempts)
+{
+}
+
+void TaskPlacer::clear()
+{
+    ++m_generation;
+    m_pending.clear();
+    m_shortages.clear();
+}
+
+void TaskPlacer::tick()
+{
+    dropTimedOut();
+    if (!m_log.hasAuthority() || m_queue.waiting() == 0)
+        return;
+    const Instant now = m_environment.clock.now();
+    m_environment.hosts.refresh(m_environment.control.state(), now);
+    m_queue.setCapacity(m_environment.hosts.totalCapacity());
+    reexamine();
+    for (size_t i = 0; i < placementsPerTick; ++i) {
+        const std::optional<QueuedTask> task = m_queue.next(now);
+        if (!task)
+            return;
+        place(*task);
+    }
+}
+
+void TaskPlacer::reserveReplied(const std::string& host, const ReserveReply& reply)
+{
+    const auto found = m_pending.find(reply.key);
+    if (found == m_pending.end() || found->second.host != host || found->second.appending)
+        return;
+    if (!reply.granted) {
+        m_environment.counters.add("reservations_refused");
+        if (reply.refusal != errorName(ErrorKind::NoCapacity))
+            m_environment.hosts.avoid(host, m_environment.clock.now() + avoidTime);
+        giveBack(reply.key, refusedDelay);
+        return;
+    }
+    const JobState* job = m_log.state().job(reply.key.job);
+    if (!job || job->phase != JobPhase::Active || !m_log.hasAuthority()) {
+        giveBack(reply.key, refusedDelay);
+        return;
+    }
+    found->second.appending = true;
+    m_log.append(assignedRecord(m_log.epoch(), reply.key, host),
+        [this, key = reply.key, generation = m_generation](const RecordVerdict& verdict) {
+            if (generation == m_generation)
+                assignedFolded(key, verdict);
+        });
+}
+
+void TaskPlacer::agentGone(const std::string& host)
+{
+    std::vector<AttemptKey> keys;
+    for (const auto& [key, pending] : m_pending) {
+        if (pending.host == host && !pending.appending)
+            keys.push_back(key);
+    }
+    for (const AttemptKey& key : keys)
+        giveBack(key, Duration { 0 });
+}
+
+void TaskPlacer::place(const QueuedTask& task)
+{
+    const QueuedJob job = *m_queue.job(task.job);
+    const JobState* state = m_log.state().job(task.job);
+    if (!state || state->tasks[task.index].phase != TaskPhase::Waiting)
+        return;
+    const PlacementRequest request = requestFor(task, job);
+    const auto hosts = m_environment.hosts.hosts();
+    const std::optional<size_t> chosen = Placement::chooseHost(request, hosts);
+    if (!chosen) {
+        noRoom(task, job, request);
+        return;
+    }
+    const AttemptKey key { task.job, task.index, state->tasks[task.index].lastAttempt + 1 };
+    reserve(key, job, hosts[*chosen].name);
+}
+
+void TaskPlacer::reserve(const AttemptKey& key, const QueuedJob& job, const std::string& host)
+{
+    const Instant now = m_environment.clock.now();
+    m_queue.noteRunning(job);
+    m_pending[key] = Pending { job, host, now };
+    if (!m_environment.send(host, Reserve { m_log.shard(), key, job.resources })) {
+        m_environment.hosts.avoid(host, now + avoidTime);
+        giveBack(key, refusedDelay);
+        return;
+    }
+    m_environment.hosts.reserve(host, key, job.resources);
+    m_environment.hosts.ejector().notePlaced(host, now);
+    const auto shortage = m_shortages.find(job.id);
+    if (shortage != m_shortages.end() && !shortage->second.evictionsExpire.empty())
+        shortage->second.evictionsExpire.pop_front();
+}
+
+void TaskPlacer::noRoom(const QueuedTask& task, const QueuedJob& job, const PlacementRequest& request)
+{
+    const Instant now = m_environment.clock.now();
+    m_queue.push(task, now);
+    m_queue.holdBack(task.job, now + holdBackTime);
+    const auto hosts = m_environment.hosts.hosts();
+    if (!hosts.empty() && !Placement::fitsSomewhere(request.resources, hosts)) {
+        m_queue.setUnplaceable(task.job, "a task is larger than any known host");
+        LogEvent(LogLevel::Warning, "job_unplaceable").field("job", task.job);
+        return;
+    }
+    if (job.urgent)
+        evictFor(job, request);
+}
+
+void TaskPlacer::evictFor(const QueuedJob& job, const PlacementRequest& request)
+{
+    const Instant now = m_environment.clock.now();
+    std::deque<Instant>& expected = m_shortages[job.id].evictionsExpire;
+    while (!expected.empty() && expected.front() <= now)
+        expected.pop_front();
+    const size_t waiting = m_queue.waitingOf(job.id);
+    if (waiting <= expected.size())
+        return;
+    const size_t count = std::min(waiting - expected.size(), evictionsPerRound);
+    const auto candidates = m_environment.hosts.evictable(now);
+    const auto evictions = Placement::chooseEvictions(request, m_environment.hosts.hosts(), candidates, count);
+    if (evictions.empty())
+        return;
+    for (const EvictionCandidate& eviction : evictions)
+        evict(eviction);
+    expected.insert(expected.end(), count, now + evictionTime);
+}
+
+void TaskPlacer::evict(const EvictionCandidate& candidate)
+{
+    const Instant now = m_environment.clock.now();
+    m_environment.hosts.markEvicting(candidate.key, now + evictionTime);
+    m_environment.counters.add("evictions_for_urgent");
+    LogEvent(LogLevel::Info, "evict_for_urgent").field("task", candidate.key.taskId()).field("host", candidate.host);
+    const std::optional<uint32_t> shard = shardOfJobId(candidate.key.job);
+    if (shard == m_log.shard())
+        m_attempts.stop(candidate.key, EndReason::Evicted, true);
+    else if (shard)
+        m_environment.send(candidate.host,
+            Stop { *shard, m_environment.epochOf(*shard), candidate.key, EndReason::Evicted, true });
+}
+
+void TaskPlacer::assignedFolded(const AttemptKey& key, const RecordVerdict& verdict)
+{
+    const auto found = m_pending.find(key);
+    assert(found != m_pending.end());
+    if (!verdict.stored || verdict.result != FoldResult::Applied) {
+        giveBack(key, refusedDelay);
+        return;
+    }
+    const std::string host = found->second.host;
+    m_pending.erase(found);
+    m_attempts.assigned(key, host);
+}
+
+void TaskPlacer::giveBack(const AttemptKey& key, Duration delay)
+{
+    const auto found = m_pending.find(key);
+    const Pending pending = found->second;
+    m_pending.erase(found);
+    m_environment.hosts.settle(pending.host, key);
+    m_queue.noteEnded(pending.job);
+    const JobState* job = m_log.state().job(key.job);
+    if (job && m_queue.job(key.job) && job->tasks[key.index].phase == TaskPhase::Waiting)
+        m_queue.push({ key.job, key.index }, m_environment.clock.now() + delay);
+}
+
+void TaskPlacer::dropTimedOut()
+{
+    const Instant now = m_environment.clock.now();
+    std::vector<AttemptKey> keys;
+    for (const auto& [key, pending] : m_pending) {
+        if (!pending.appending && now - pending.sentAt > reserveTimeout)
+            keys.push_back(key);
+    }
+    for (const AttemptKey& key : keys)
+        giveBack(key, Duration { 0 });
+}
+
+void TaskPlacer::reexamine()
+{
+    if (m_hostsVersion == m_environment.hosts.version())
+        return;
+    m_hostsVersion = m_environment.hosts.version();
+    for (const auto& [job, reason] : m_queue.unplaceable())
+        m_queue.setUnplaceable(job, {});
+}
+
+bool TaskPlacer::fitsElsewhere(const Resources& resources, const std::string& host) const
+{
+    return std::ranges::any_of(m_environment.hosts.hosts(), [&](const PlacementHost& other) {
+        return other.usable && other.name != host && resources.fitsIn(other.capacity);
+    });
+}
+
+PlacementRequest TaskPlacer::requestFor(const QueuedTask& task, const QueuedJob& job) const
+{
+    const TaskState& state = m_log.state().job(task.job)->tasks[task.index];
+    PlacementRequest request;
+    request.resources = job.resources;
+    request.tasksInDataCentre = m_attempts.tasksInDataCentre(task.job);
+    request.tasksInRack = m_attempts.tasksInRack(task.job);
+    request.interference = m_environment.hosts.interferenceOf(job.name);
+    if (state.failures > 0 && fitsElsewhere(job.resources, state.lastHost))
+        request.avoidedHost = state.lastHost;
+    return request;
+}
+
+} // namespace hemlocklead
