--- a/src/state/Catalogue.cpp
+++ b/src/state/Catalogue.cpp
@@ -18,6 +18,10 @@
         "maxInFlight", "maxQueued", "timeoutMs" };
     constexpr std::string_view urgentField = "urgent";
 
+    /// Whether a field that this version does not know is an error (an operator's edit) or skipped (a record that a
+    /// newer version wrote).
+    enum class UnknownFields : uint8_t { Reject, Skip };
+
     bool contains(std::span<const std::string_view> names, std::string_view name)
     {
         return std::ranges::find(names, name) != names.end();
@@ -28,6 +32,13 @@
         return fail(ErrorKind::InvalidRequest, std::string(field) + ": " + std::string(problem));
     }
 
+    Result<void> unknownField(const std::string& field, UnknownFields policy)
+    {
+        if (policy == UnknownFields::Reject)
+            return invalid(field, "unknown field");
+        return {};
+    }
+
     Result<void> checkLimit(const std::string& field, const Json& value)
     {
         if (!value.is_number_integer())
@@ -37,31 +48,34 @@
         return {};
     }
 
-    Result<void> checkResources(const std::string& field, const Json& value)
+    Result<void> checkResources(const std::string& field, const Json& value, UnknownFields policy)
     {
         if (!value.is_object())
             return invalid(field, "must be an object");
         for (const auto& [name, amount] : value.items()) {
-            const std::string path = field + '.' + name;
-            if (!contains(resourceFields, name))
-                return invalid(path, "unknown field");
-            BOOST_LEAF_CHECK(checkLimit(path, amount));
+            std::string path = field;
+            path.append(".").append(name);
+            if (contains(resourceFields, name)) {
+                BOOST_LEAF_CHECK(checkLimit(path, amount));
+            } else {
+                BOOST_LEAF_CHECK(unknownField(path, policy));
+            }
         }
         return {};
     }
 
-    Result<void> checkLimits(const Json& limits)
+    Result<void> checkLimits(const Json& limits, UnknownFields policy)
     {
         if (!limits.is_object())
             return invalid("limits", "must be an object");
         for (const auto& [name, value] : limits.items()) {
             const std::string path = "limits." + name;
             if (contains(resourceLimits, name)) {
-                BOOST_LEAF_CHECK(checkResources(path, value));
+                BOOST_LEAF_CHECK(checkResources(path, value, policy));
             } else if (contains(numberLimits, name)) {
                 BOOST_LEAF_CHECK(checkLimit(path, value));
             } else if (name != urgentField) {
-                return invalid(path, "unknown field");
+                BOOST_LEAF_CHECK(unknownField(path, policy));
             } else if (!value.is_boolean()) {
                 return invalid(path, "must be true or false");
             }
@@ -76,12 +90,12 @@
         return {};
     }
 
-    Result<void> checkField(const std::string& name, const Json& value)
+    Result<void> checkField(const std::string& name, const Json& value, UnknownFields policy)
     {
         if (!contains(entryFields, name))
-            return invalid(name, "unknown field");
+            return unknownField(name, policy);
         if (name == "limits")
-            return checkLimits(value);
+            return checkLimits(value, policy);
         if (!value.is_string())
             return invalid(name, "must be a text");
         if (name == "workClass")
@@ -89,6 +103,20 @@
         return {};
     }
 
+    Result<CatalogueEntry> parseEntry(const Json& json, UnknownFields policy)
+    {
+        if (!json.is_object())
+            return invalid("entry", "must be an object");
+        for (const auto& [name, value] : json.items())
+            BOOST_LEAF_CHECK(checkField(name, value, policy));
+        BOOST_LEAF_AUTO(entry, fromJson<CatalogueEntry>(json));
+        if (entry.owner.empty())
+            return invalid("owner", "missing");
+        if (entry.team.empty())
+            return invalid("team", "missing");
+        return entry;
+    }
+
 } // namespace
 
 const CatalogueEntry* CatalogueItem::governing() const { return entryOf(governingOwner); }
@@ -99,18 +127,8 @@
     return found == entries.end() ? nullptr : &*found;
 }
 
-Result<CatalogueEntry> parseCatalogueEntry(const Json& json)
-{
-    if (!json.is_object())
-        return invalid("entry", "must be an object");
-    for (const auto& [name, value] : json.items())
-        BOOST_LEAF_CHECK(checkField(name, value));
-    BOOST_LEAF_AUTO(entry, fromJson<CatalogueEntry>(json));
-    if (entry.owner.empty())
-        return invalid("owner", "missing");
-    if (entry.team.empty())
-        return invalid("team", "missing");
-    return entry;
-}
+Result<CatalogueEntry> parseCatalogueEntry(const Json& json) { return parseEntry(json, UnknownFields::Reject); }
+
+Result<CatalogueEntry> parseRecordedEntry(const Json& json) { return parseEntry(json, UnknownFields::Skip); }
 
 } // namespace hemlocklead
--- a/src/state/Catalogue.h
+++ b/src/state/Catalogue.h
@@ -76,6 +76,9 @@
 /// or team, or a limit below zero; the message names the field.
 Result<CatalogueEntry> parseCatalogueEntry(const Json& json);
 
+/// Like `parseCatalogueEntry`, but skips unknown fields: a newer version may have written the record.
+Result<CatalogueEntry> parseRecordedEntry(const Json& json);
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     Limits, perTask, teamQuota, maxRunning, maxQueuedTasks, maxAttempts, maxInFlight, maxQueued, timeoutMs, urgent)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CatalogueEntry, owner, team, service, workClass, limits)
--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -16,19 +16,19 @@
 
     bool isCatalogueName(const std::string* name) { return name && name->find('/') == std::string::npos; }
 
-    /// Entry of a record. Fields that a newer version added are ignored here, unlike in an operator's edit.
+    /// Entry of a `catalogue_set` record; nullopt when it is malformed or of another owner.
     std::optional<CatalogueEntry> recordedEntry(const Json& record, std::string_view owner)
     {
         const auto found = record.find("entry");
-        if (found == record.end() || !found->is_object())
+        if (found == record.end())
             return std::nullopt;
         auto entry = orElse(
             [&]() -> Result<std::optional<CatalogueEntry>> {
-                BOOST_LEAF_AUTO(parsed, fromJson<CatalogueEntry>(*found));
+                BOOST_LEAF_AUTO(parsed, parseRecordedEntry(*found));
                 return parsed;
             },
             [](const Error&) { return std::optional<CatalogueEntry>(); });
-        if (!entry || entry->owner != owner || entry->team.empty())
+        if (!entry || entry->owner != owner)
             return std::nullopt;
         return entry;
     }
--- a/src/state/ShardState.cpp
+++ b/src/state/ShardState.cpp
@@ -97,12 +97,15 @@
         const auto tasks = numberField(*found, "tasks", maxTasksPerJob);
         if (!tasks || *tasks == 0 || !smallNumberField(*found, "maxAttempts"))
             return std::nullopt;
-        return orElse(
+        auto spec = orElse(
             [&]() -> Result<std::optional<JobSpec>> {
-                BOOST_LEAF_AUTO(spec, fromJson<JobSpec>(*found));
-                return spec;
+                BOOST_LEAF_AUTO(parsed, fromJson<JobSpec>(*found));
+                return parsed;
             },
             [](const Error&) { return std::optional<JobSpec>(); });
+        if (!spec || !spec->task.resources.isNonNegative())
+            return std::nullopt;
+        return spec;
     }
 
 } // namespace
