--- /dev/null
+++ b/src/coordination/ControlFold.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "coordination/LogStream.h"
+#include "state/ControlState.h"
+
+namespace hemlocklead {
+
+/// Folds a control stream into a ControlState.
+class ControlFold final : public StreamFold {
+public:
+    FoldResult fold(uint64_t offset, const Json& record) override { return m_state.fold(offset, record); }
+    void advanceTo(uint64_t nextOffset) override { m_state.advanceTo(nextOffset); }
+    uint64_t nextOffset() const override { return m_state.nextOffset(); }
+    Json snapshot() const override { return m_state.toJson(); }
+    Result<void> load(const Json& snapshot) override;
+
+    const ControlState& state() const { return m_state; }
+
+private:
+    ControlState m_state;
+};
+
+} // namespace hemlocklead
--- a/src/coordination/LogStream.h
+++ b/src/coordination/LogStream.h
@@ -29,7 +29,10 @@
 /// What became of an appended record.
 struct RecordVerdict {
     bool stored { false }; ///< False: proved not stored, the log cannot be reached.
-    FoldResult result { FoldResult::Unknown }; ///< Valid when stored and folded.
+
+    /// Valid when stored. `Unknown` for a known kind means that the record was folded into a snapshot of another
+    /// process, after its offset had been trimmed here; the state tells what became of it.
+    FoldResult result { FoldResult::Unknown };
     uint64_t offset { 0 };
 };
 
@@ -43,7 +46,9 @@
         Duration pollInterval { 250 };
         Duration groupCommit { 20 }; ///< Longest time that a record waits for others.
         Duration retryDelay { 100 }; ///< Between tries after an append or read without answer.
+        Duration refuseAfter { 3000 }; ///< A record not sent yet fails after this time without an answer of the log.
         size_t maxBatchRecords { 1000 };
+        size_t maxBatchBytes { 256 * 1024 }; ///< A batch grows to about this size; a larger record goes alone.
     };
 
     LogStream(Settings settings, LogService& log, const Clock& clock, StreamFold& fold, Counters& counters);
@@ -63,11 +68,17 @@
     /// When the last question was sent that the log answered with the tail folded here; nullopt before the first.
     std::optional<Instant> confirmedAt() const;
 
-    /// Adopts a state that a peer serves, while the log cannot be read. Ignored once caught up.
+    /// Adopts a state that a peer serves, while the log cannot be read: the result of `snapshot` there, or the plain
+    /// state. Ignored when malformed, at an offset not above the own one, or once this stream has been caught up.
     void adopt(const Json& snapshot);
 
+    /// State with the offset and the producers' sequences, `{"through", "state", "producers"}`; null before the first
+    /// record is folded. A snapshot record has this form.
+    Json snapshot() const;
+
     /// Appends a record. `done` runs once this stream has folded it at its offset, or once it is proved not stored.
-    /// After an append without answer the stream is read back before the same batch is appended again.
+    /// After an append without answer the stream is read back before the same batch is appended again; this goes on
+    /// until the log answers, so a caller that cannot wait needs its own deadline. Destroying the stream drops `done`.
     void append(Json record, std::function<void(RecordVerdict)> done);
 
     /// Records waiting or in flight.
@@ -76,10 +87,11 @@
     /// Asks for a read as soon as possible, before the next poll is due.
     void pollNow();
 
-    /// Writes the state to the stream's snapshot stream; `done(true)` once stored.
+    /// Writes the state to the stream's snapshot stream; `done(true)` once stored. `done(false)` when the log gave no
+    /// answer, the stream is not caught up or empty, or another snapshot is being written.
     void writeSnapshot(std::function<void(bool)> done);
 
-    /// Called after each batch that changed the state.
+    /// Called after each read, append or adoption that changed the state, after the verdicts of its own records.
     void onFolded(std::function<void()> handler);
 
 private:
