--- a/src/coordination/Placement.cpp
+++ b/src/coordination/Placement.cpp
@@ -113,8 +113,7 @@
 
 bool Placement::fitsSomewhere(const Resources& resources, std::span<const PlacementHost> hosts)
 {
-    return std::ranges::any_of(
-        hosts, [&](const PlacementHost& host) { return resources.fitsIn(host.capacity); });
+    return std::ranges::any_of(hosts, [&](const PlacementHost& host) { return resources.fitsIn(host.capacity); });
 }
 
 std::vector<EvictionCandidate> Placement::chooseEvictions(const PlacementRequest& request,
--- a/src/entry/AttemptTracker.cpp
+++ b/src/entry/AttemptTracker.cpp
@@ -136,7 +136,8 @@
 
 void AttemptTracker::stopJob(const std::string& job)
 {
-    for (auto next = m_attempts.lower_bound({ job, 0, 0 }); next != m_attempts.end() && next->first.job == job; ++next) {
+    for (auto next = m_attempts.lower_bound({ job, 0, 0 }); next != m_attempts.end() && next->first.job == job;
+         ++next) {
         next->second.stop.reset();
         stop(next->first, EndReason::Cancelled, false);
     }
@@ -307,8 +308,7 @@
 void AttemptTracker::sendStop(const AttemptKey& key, Attempt& attempt)
 {
     const StopRequest& request = *attempt.stop;
-    m_environment.send(
-        attempt.host, Stop { m_log.shard(), m_log.epoch(), key, request.reason, request.checkpoint });
+    m_environment.send(attempt.host, Stop { m_log.shard(), m_log.epoch(), key, request.reason, request.checkpoint });
     attempt.stop->nextSend = m_environment.clock.now() + stopRetryDelay;
 }
 
--- a/src/entry/AttemptTracker.h
+++ b/src/entry/AttemptTracker.h
@@ -17,8 +17,8 @@
 class AttemptTracker {
 public:
     /// Called once the end of an attempt has been folded.
-    using Ended = std::function<void(const AttemptKey& key, const std::string& host, EndReason reason,
-        const std::string& detail)>;
+    using Ended = std::function<void(
+        const AttemptKey& key, const std::string& host, EndReason reason, const std::string& detail)>;
 
     AttemptTracker(ShardLog& log, const ShardEnvironment& environment, Ended ended);
 
--- a/src/entry/JobHttp.cpp
+++ b/src/entry/JobHttp.cpp
@@ -39,7 +39,10 @@
 
     HttpResponse notStored() { return errorResponse({ ErrorKind::LogUnavailable, "the log cannot be reached" }); }
 
-    HttpResponse notOwner() { return errorResponse({ ErrorKind::NotOwner, "no reachable entry owns the job's shard" }); }
+    HttpResponse notOwner()
+    {
+        return errorResponse({ ErrorKind::NotOwner, "no reachable entry owns the job's shard" });
+    }
 
     /// State shared by the answers of all entries to one list request.
     struct ListAnswer {
--- a/src/entry/JobSubmission.cpp
+++ b/src/entry/JobSubmission.cpp
@@ -37,12 +37,10 @@
     /// Whole number from `low` to `high`.
     Result<int64_t> numberField(const Json& value, const std::string& field, int64_t low, int64_t high)
     {
-        const bool tooLarge
-            = value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(high);
+        const bool tooLarge = value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(high);
         const bool fits = value.is_number_integer() && !tooLarge && value.get<int64_t>() >= low;
         if (!fits)
-            return invalid(
-                field, "must be a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+            return invalid(field, "must be a whole number from " + std::to_string(low) + " to " + std::to_string(high));
         return value.get<int64_t>();
     }
 
@@ -113,8 +111,8 @@
 
 } // namespace
 
-Result<JobSubmission> parseSubmission(std::string_view body, const ControlState& control, uint32_t shards,
-    int64_t unixMs, std::string_view chosenId)
+Result<JobSubmission> parseSubmission(
+    std::string_view body, const ControlState& control, uint32_t shards, int64_t unixMs, std::string_view chosenId)
 {
     BOOST_LEAF_AUTO(json, parseJson(body));
     BOOST_LEAF_CHECK(checkFields(json));
@@ -127,7 +125,8 @@
     JobSubmission submission;
     submission.shard = shardOf(entry->team, shards);
     submission.maxQueuedTasks = entry->limits.maxQueuedTasks;
-    submission.spec.id = key.empty() ? randomJobId(submission.shard) : keyedJobId(submission.shard, entry->team, name, key);
+    submission.spec.id
+        = key.empty() ? randomJobId(submission.shard) : keyedJobId(submission.shard, entry->team, name, key);
     if (key.empty() && shardOfJobId(chosenId) == submission.shard)
         submission.spec.id = chosenId;
     submission.spec.task = task;
--- a/src/entry/JobSubmission.h
+++ b/src/entry/JobSubmission.h
@@ -22,7 +22,7 @@
 /// Parses the body of `POST /jobs` against the catalogue: class, team and limits come from the governing entry. Fails
 /// with `InvalidRequest`, naming the field, and with `NotFound` for a name that the catalogue does not have.
 /// `chosenId` is the id that a forwarding entry chose; empty to derive or draw one.
-Result<JobSubmission> parseSubmission(std::string_view body, const ControlState& control, uint32_t shards,
-    int64_t unixMs, std::string_view chosenId);
+Result<JobSubmission> parseSubmission(
+    std::string_view body, const ControlState& control, uint32_t shards, int64_t unixMs, std::string_view chosenId);
 
 } // namespace hemlocklead
--- a/src/entry/ShardLog.cpp
+++ b/src/entry/ShardLog.cpp
@@ -19,17 +19,11 @@
 
 } // namespace
 
-Result<void> ShardFold::load(const Json& snapshot)
-{
-    BOOST_LEAF_ASSIGN(m_state, parseShardState(snapshot));
-    return {};
-}
-
 ShardLog::ShardLog(uint32_t shard, const ShardEnvironment& environment)
     : m_shard(shard)
     , m_environment(environment)
-    , m_authority({ environment.settings.name, shard, environment.settings.shardAuthority,
-                      environment.settings.ownerTimeout },
+    , m_authority(
+          { environment.settings.name, shard, environment.settings.shardAuthority, environment.settings.ownerTimeout },
           environment.clock.now())
     , m_stream(std::make_unique<LogStream>(streamSettings(shard, environment.settings), environment.log,
           environment.clock, m_fold, environment.counters))
--- a/src/entry/ShardLog.h
+++ b/src/entry/ShardLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/LogStream.h"
+#include "coordination/ShardFold.h"
 #include "entry/ShardEnvironment.h"
 #include "state/ShardState.h"
 
@@ -9,21 +10,6 @@
 
 namespace hemlocklead {
 
-/// Fold of a shard stream.
-class ShardFold final : public StreamFold {
-public:
-    FoldResult fold(uint64_t offset, const Json& record) override { return m_state.fold(offset, record); }
-    void advanceTo(uint64_t nextOffset) override { m_state.advanceTo(nextOffset); }
-    uint64_t nextOffset() const override { return m_state.nextOffset(); }
-    Json snapshot() const override { return m_state.toJson(); }
-    Result<void> load(const Json& snapshot) override;
-
-    const ShardState& state() const { return m_state; }
-
-private:
-    ShardState m_state;
-};
-
 /// The stream of one shard with this entry's claim to it: claims, authority, release, snapshots.
 class ShardLog {
 public:
--- a/src/entry/ShardOwner.cpp
+++ b/src/entry/ShardOwner.cpp
@@ -158,8 +158,8 @@
     return { { "shard", m_shard }, { "owner", claim().entry }, { "epoch", claim().epoch }, { "owned", isOwner() },
         { "authority", hasAuthority() }, { "caught_up", m_log.isCaughtUp() }, { "state_lost", m_log.isStateLost() },
         { "jobs", state().jobs().size() }, { "waiting", m_queue.waiting() }, { "placing", m_placer.underWay() },
-        { "running", m_attempts.count() }, { "paused", taskIds(m_attempts.paused()) },
-        { "unplaceable", unplaceable }, { "watches_without_place", m_queue.waitingWatches() } };
+        { "running", m_attempts.count() }, { "paused", taskIds(m_attempts.paused()) }, { "unplaceable", unplaceable },
+        { "watches_without_place", m_queue.waitingWatches() } };
 }
 
 void ShardOwner::gained()
--- a/src/entry/TaskPlacer.cpp
+++ b/src/entry/TaskPlacer.cpp
@@ -20,8 +20,7 @@
 
 } // namespace
 
-TaskPlacer::TaskPlacer(
-    ShardLog& log, const ShardEnvironment& environment, JobQueue& queue, AttemptTracker& attempts)
+TaskPlacer::TaskPlacer(ShardLog& log, const ShardEnvironment& environment, JobQueue& queue, AttemptTracker& attempts)
     : m_log(log)
     , m_environment(environment)
     , m_queue(queue)
@@ -167,19 +166,21 @@
     if (shard == m_log.shard())
         m_attempts.stop(candidate.key, EndReason::Evicted, true);
     else if (shard)
-        m_environment.send(candidate.host,
-            Stop { *shard, m_environment.epochOf(*shard), candidate.key, EndReason::Evicted, true });
+        m_environment.send(
+            candidate.host, Stop { *shard, m_environment.epochOf(*shard), candidate.key, EndReason::Evicted, true });
 }
 
 void TaskPlacer::assignedFolded(const AttemptKey& key, const RecordVerdict& verdict)
 {
     const auto found = m_pending.find(key);
     assert(found != m_pending.end());
-    if (!verdict.stored || verdict.result != FoldResult::Applied) {
+    const std::string host = found->second.host;
+    const JobState* job = m_log.state().job(key.job);
+    const OpenAttempt expected { key.attempt, host };
+    if (!verdict.stored || !m_log.isOwner() || !job || job->tasks[key.index].open != expected) {
         giveBack(key, refusedDelay);
         return;
     }
-    const std::string host = found->second.host;
     m_pending.erase(found);
     m_attempts.assigned(key, host);
 }
--- a/src/entry/TaskPlacer.h
+++ b/src/entry/TaskPlacer.h
@@ -38,7 +38,8 @@
     };
     /// Job whose tasks are held back because no host has room.
     struct Shortage {
-        std::deque<Instant> evictionsExpire; ///< One per task that evictions were asked for and that was not placed yet.
+        std::deque<Instant>
+            evictionsExpire; ///< One per task that evictions were asked for and that was not placed yet.
     };
 
     void place(const QueuedTask& task);
--- /dev/null
+++ b/tests/support/JobWorld.h
@@ -0,0 +1,418 @@
+#pragma once
+
+#include "entry/ShardOwner.h"
+#include "support/ChaosLog.h"
+#include "support/ModelAgent.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlocklead {
+
+/// Configuration that is always up to date.
+class ModelControl final : public ControlView {
+public:
+    const ControlState& state() const override { return m_state; }
+    Duration age() const override { return Duration { 20 }; }
+    bool isServing() const override { return true; }
+
+    void publish(const std::string& name, const CatalogueEntry& entry)
+    {
+        const CatalogueItem* item = m_state.item(name);
+        fold(catalogueSetRecord(name, item ? item->version : 0, entry));
+    }
+
+    void setOut(const std::string& dataCentre, bool out)
+    {
+        const auto found = m_state.dataCentres().find(dataCentre);
+        fold(dataCentreSetRecord(
+            dataCentre, found == m_state.dataCentres().end() ? 0 : found->second.version, out, "operations"));
+    }
+
+private:
+    void fold(const Json& record)
+    {
+        m_state.fold(m_state.nextOffset(), record);
+        m_state.advanceTo(m_state.nextOffset() + 1);
+    }
+
+    ControlState m_state;
+};
+
+/// Entries with the real owner code for one shard, model agents, and a network and a log with faults, on one clock.
+class JobWorld {
+public:
+    static constexpr Duration step { 10 };
+
+    /// Durations of design section 14 divided by 5, so that a schedule with several takeovers is short.
+    static EntrySettings shortSettings()
+    {
+        EntrySettings settings;
+        settings.shards = 1;
+        settings.startFreshness = Duration { 400 };
+        settings.shardAuthority = Duration { 1000 };
+        settings.attemptLease = Duration { 4000 };
+        settings.driftMargin = Duration { 200 };
+        settings.workerLease = Duration { 1200 };
+        settings.ownerTimeout = Duration { 600 };
+        settings.snapshotInterval = Duration { 3000 };
+        return settings;
+    }
+
+    JobWorld(uint64_t seed, size_t entries, size_t agents, EntrySettings owners = shortSettings())
+        : m_random(seed)
+        , m_ownerSettings(std::move(owners))
+    {
+        m_control.publish("compile", CatalogueEntry { "product", "registers", "", WorkClass::CanWait, {} });
+        for (size_t i = 0; i < agents; ++i)
+            addAgent(entries);
+        for (size_t i = 0; i < entries; ++i)
+            addEntry();
+        for (size_t entry = 0; entry < entries; ++entry) {
+            for (size_t agent = 0; agent < agents; ++agent)
+                connect(entry, agent);
+        }
+    }
+
+    ModelControl& control() { return m_control; }
+    std::mt19937_64& random() { return m_random; }
+    Instant now() const { return m_clock.now(); }
+    const std::set<std::string>& violations() const { return m_violations; }
+    const std::set<std::string>& accepted() const { return m_accepted; }
+    size_t starts() const { return m_starts; }
+    size_t gains() const { return m_gains; }
+
+    void setFaulty(bool faulty)
+    {
+        m_faulty = faulty;
+        for (Entry& entry : m_entries)
+            entry.log->setFaulty(faulty);
+    }
+
+    void run(Duration duration)
+    {
+        for (const Instant end = now() + duration; now() < end;)
+            runStep();
+    }
+
+    void runStep()
+    {
+        m_clock.advance(step);
+        deliver();
+        for (Agent& agent : m_agents) {
+            agent.model->workerStep(now());
+            if (now() >= agent.pausedUntil)
+                agent.model->step(now());
+        }
+        for (Entry& entry : m_entries)
+            stepEntry(entry);
+        checkRunning();
+    }
+
+    /// Entry that owns the shard with authority, or nullopt.
+    std::optional<size_t> owner() const
+    {
+        for (size_t i = 0; i < m_entries.size(); ++i) {
+            if (m_entries[i].owner && m_entries[i].owner->hasAuthority())
+                return i;
+        }
+        return std::nullopt;
+    }
+    ShardOwner* ownerAt(size_t entry) { return m_entries[entry].owner.get(); }
+
+    void submit(const std::string& id, uint32_t tasks, bool urgent = false)
+    {
+        const TaskSpec task { "compile", "registers", "payload", { 1000, 1024, 0 }, false, urgent };
+        if (const auto entry = owner())
+            ownerAt(*entry)->submit(JobSpec { id, task, tasks, 50, m_clock.now().time_since_epoch().count() },
+                [this, id](ShardOwner::Outcome outcome) {
+                    if (outcome == ShardOwner::Outcome::Done)
+                        m_accepted.insert(id);
+                });
+    }
+
+    void cancel(const std::string& id)
+    {
+        if (const auto entry = owner())
+            ownerAt(*entry)->cancel(id, [](ShardOwner::Outcome) {});
+    }
+
+    void pauseEntry(size_t entry, Duration duration) { m_entries[entry].pausedUntil = now() + duration; }
+    void pauseAgent(size_t agent, Duration duration) { m_agents[agent].pausedUntil = now() + duration; }
+    void setLogDown(size_t entry, bool down) { m_entries[entry].log->setDown(down); }
+
+    void killEntry(size_t entry)
+    {
+        m_entries[entry].owner.reset();
+        m_entries[entry].log->dropAnswers();
+        m_entries[entry].pausedUntil = {};
+        for (size_t agent = 0; agent < m_agents.size(); ++agent)
+            cut(entry, agent);
+    }
+
+    void startEntry(size_t entry)
+    {
+        if (m_entries[entry].owner)
+            return;
+        *m_entries[entry].hosts = HostTable();
+        m_entries[entry].owner = std::make_unique<ShardOwner>(0, *m_entries[entry].environment);
+    }
+
+    void restartAgent(size_t agent)
+    {
+        m_agents[agent].model->restart(now());
+        for (size_t entry = 0; entry < m_entries.size(); ++entry) {
+            const bool wasConnected = isConnected(entry, agent);
+            cut(entry, agent);
+            if (wasConnected)
+                connect(entry, agent);
+        }
+    }
+
+    void cut(size_t entry, size_t agent)
+    {
+        Link& link = m_links[entry * m_agents.size() + agent];
+        ++link.number;
+        if (!std::exchange(link.up, false))
+            return;
+        m_entries[entry].hosts->gone(m_agents[agent].model->host(), now());
+        if (m_entries[entry].owner)
+            m_entries[entry].owner->agentGone(m_agents[agent].model->host());
+    }
+
+    void connect(size_t entry, size_t agent)
+    {
+        m_links.resize(m_entries.size() * m_agents.size());
+        Link& link = m_links[entry * m_agents.size() + agent];
+        if (link.up || !m_entries[entry].owner)
+            return;
+        link.up = true;
+        m_entries[entry].hosts->connected(m_agents[agent].model->hello(), now());
+        m_agents[agent].model->connectionMade(entry);
+    }
+
+    bool isConnected(size_t entry, size_t agent) const { return m_links[entry * m_agents.size() + agent].up; }
+
+    /// Ends all faults.
+    void heal()
+    {
+        setFaulty(false);
+        for (size_t entry = 0; entry < m_entries.size(); ++entry) {
+            startEntry(entry);
+            m_entries[entry].pausedUntil = {};
+            m_entries[entry].log->setDown(false);
+            for (size_t agent = 0; agent < m_agents.size(); ++agent)
+                connect(entry, agent);
+        }
+        for (Agent& agent : m_agents)
+            agent.pausedUntil = {};
+    }
+
+    /// The shard as any reader of the log sees it; nullopt while no owner has authority.
+    const ShardState* state()
+    {
+        const auto entry = owner();
+        return entry ? &ownerAt(*entry)->state() : nullptr;
+    }
+
+    /// Whether every accepted job has ended and nothing runs any more.
+    bool isAllDone()
+    {
+        const ShardState* shard = state();
+        if (!shard)
+            return false;
+        for (const auto& [id, job] : shard->jobs()) {
+            const bool open
+                = std::ranges::any_of(job.tasks, [](const TaskState& task) { return task.open.has_value(); });
+            if (job.phase == JobPhase::Active || open)
+                return false;
+        }
+        return std::ranges::all_of(m_accepted, [&](const std::string& id) { return shard->job(id) != nullptr; });
+    }
+
+private:
+    struct Entry {
+        EntrySettings settings;
+        std::unique_ptr<ChaosLog> log;
+        std::unique_ptr<HostTable> hosts;
+        std::unique_ptr<Counters> counters;
+        std::unique_ptr<ShardEnvironment> environment;
+        std::unique_ptr<ShardOwner> owner; ///< Null while the process is dead.
+        Instant pausedUntil;
+        Instant heardAt; ///< Its last ping, as the others hear it.
+        bool wasOwner { false };
+    };
+    struct Agent {
+        std::unique_ptr<ModelAgent> model;
+        Instant pausedUntil;
+    };
+    struct Link {
+        bool up { false };
+        uint64_t number { 0 }; ///< Grows with each cut; messages of an older connection are dropped.
+    };
+    struct Flight {
+        Instant at;
+        size_t entry;
+        size_t agent;
+        uint64_t link;
+        bool toAgent;
+        Message message;
+    };
+
+    void addAgent(size_t entries)
+    {
+        const size_t index = m_agents.size();
+        ModelAgent::Observer observer { [this](const Start& start) { noteStart(start); },
+            [this](const AttemptEnded& ended) { noteAcknowledged(ended); } };
+        m_agents.push_back(
+            { std::make_unique<ModelAgent>(
+                  "h" + std::to_string(index), index % 2 ? "sohar" : "muscat", m_agentSettings, entries, m_random,
+                  [this, index](size_t entry, const Message& message) { post(entry, index, false, message); }, observer,
+                  [this](const std::string& name) { return m_control.state().isOut(name); }),
+                {} });
+    }
+
+    void addEntry()
+    {
+        const size_t index = m_entries.size();
+        Entry& entry = m_entries.emplace_back();
+        entry.settings = m_ownerSettings;
+        entry.settings.name = "e" + std::to_string(index);
+        entry.log = std::make_unique<ChaosLog>(m_store, m_clock, m_random);
+        entry.hosts = std::make_unique<HostTable>();
+        entry.counters = std::make_unique<Counters>();
+        entry.environment = std::make_unique<ShardEnvironment>(
+            ShardEnvironment { entry.settings, m_clock, m_control, *entry.log, *entry.hosts, *entry.counters,
+                [this, index](
+                    const std::string& host, const Message& message) { return sendToAgent(index, host, message); },
+                [this] { return m_clock.now().time_since_epoch().count(); }, [](uint32_t) { return uint64_t { 0 }; },
+                [this, index] { return others(index); } });
+        entry.owner = std::make_unique<ShardOwner>(0, *entry.environment);
+    }
+
+    std::vector<LiveEntry> others(size_t self) const
+    {
+        std::vector<LiveEntry> list;
+        for (size_t i = 0; i < m_entries.size(); ++i) {
+            if (i != self)
+                list.push_back({ m_entries[i].settings.name, m_entries[i].heardAt });
+        }
+        return list;
+    }
+
+    bool sendToAgent(size_t entry, const std::string& host, const Message& message)
+    {
+        for (size_t agent = 0; agent < m_agents.size(); ++agent) {
+            if (m_agents[agent].model->host() == host && isConnected(entry, agent)) {
+                post(entry, agent, true, message);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// With faults, messages are delayed, overtake each other, get lost or arrive twice.
+    void post(size_t entry, size_t agent, bool toAgent, const Message& message)
+    {
+        if (!isConnected(entry, agent) || (m_faulty && m_random() % 50 == 0))
+            return;
+        const uint64_t number = m_links[entry * m_agents.size() + agent].number;
+        const int copies = m_faulty && m_random() % 20 == 0 ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            const bool slow = m_faulty && m_random() % 20 == 0;
+            const Duration delay { m_random() % (slow ? 5000 : 15) };
+            m_flights.push_back({ now() + delay, entry, agent, number, toAgent, message });
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<Flight> due;
+        std::vector<Flight> later;
+        for (Flight& flight : m_flights) {
+            const Instant readyAt
+                = flight.toAgent ? m_agents[flight.agent].pausedUntil : m_entries[flight.entry].pausedUntil;
+            (flight.at <= now() && readyAt <= now() ? due : later).push_back(std::move(flight));
+        }
+        m_flights = std::move(later);
+        for (const Flight& flight : due) {
+            if (m_links[flight.entry * m_agents.size() + flight.agent].number != flight.link)
+                continue;
+            if (flight.toAgent)
+                m_agents[flight.agent].model->receive(flight.entry, flight.message, now());
+            else
+                receiveAtEntry(m_entries[flight.entry], m_agents[flight.agent].model->host(), flight.message);
+        }
+    }
+
+    void receiveAtEntry(Entry& entry, const std::string& host, const Message& message)
+    {
+        if (entry.owner && entry.hosts->note(host, message, now()))
+            entry.owner->agentMessage(host, message);
+    }
+
+    void stepEntry(Entry& entry)
+    {
+        entry.log->runEffects();
+        if (!entry.owner || now() < entry.pausedUntil)
+            return;
+        entry.log->runAnswers();
+        entry.owner->tick();
+        entry.heardAt = now();
+        const bool isOwner = entry.owner->isOwner();
+        m_gains += isOwner && !entry.wasOwner ? 1 : 0;
+        entry.wasOwner = isOwner;
+    }
+
+    void checkRunning()
+    {
+        std::set<std::pair<std::string, uint32_t>> running;
+        for (const Agent& agent : m_agents) {
+            for (const AttemptKey& key : agent.model->running()) {
+                if (!running.emplace(key.job, key.index).second)
+                    m_violations.insert("two attempts run: " + key.taskId());
+            }
+        }
+    }
+
+    void noteStart(const Start& start)
+    {
+        ++m_starts;
+        if (!m_started.insert(start.key).second)
+            m_violations.insert("attempt started twice: " + start.key.taskId());
+        const auto evicted = m_evictedToken.find({ start.key.job, start.key.index, start.key.attempt - 1 });
+        if (evicted != m_evictedToken.end() && evicted->second != start.checkpoint)
+            m_violations.insert("resumed from another checkpoint: " + start.key.taskId());
+    }
+
+    void noteAcknowledged(const AttemptEnded& ended)
+    {
+        if (ended.reason == EndReason::Evicted)
+            m_evictedToken[ended.key] = ended.token;
+    }
+
+    std::mt19937_64 m_random;
+    EntrySettings m_ownerSettings;
+    EntrySettings m_agentSettings { shortSettings() };
+    ManualClock m_clock;
+    LogStore m_store;
+    ModelControl m_control;
+    std::vector<Entry> m_entries;
+    std::vector<Agent> m_agents;
+    std::vector<Link> m_links;
+    std::vector<Flight> m_flights;
+    bool m_faulty { false };
+    std::set<std::string> m_accepted;
+    std::set<std::string> m_violations;
+    std::set<AttemptKey> m_started;
+    std::map<AttemptKey, std::string> m_evictedToken;
+    size_t m_starts { 0 };
+    size_t m_gains { 0 };
+};
+
+} // namespace hemlocklead
