Prove single attempts under random faults

Cause: leases, takeover and confirmations by absence are only right if no order of faults runs a task twice. Change: a model world drives the real ShardOwner, LogStream and folds with a manual clock: 2 or 3 owners, 4 model agents, a log with lost, late and refused appends, messages that are lost, repeated and reordered, pauses past the lease, cuts, restarts, deaths, cancellations, data centres that leave. An auditor reads the log independently.

--- a/tests/support/JobWorld.h
+++ b/tests/support/JobWorld.h
@@ -2,9 +2,11 @@
 
 #include "entry/ShardOwner.h"
 #include "support/ChaosLog.h"
+#include "support/MemoryLog.h"
 #include "support/ModelAgent.h"
 
 #include <algorithm>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -44,6 +46,45 @@
     ControlState m_state;
 };
 
+/// Reader of the shard stream that sees each record as soon as it is in the log, and notes what was applied.
+class LogAuditor final : public StreamFold {
+public:
+    LogAuditor(LogStore& store, const Clock& clock)
+        : m_log(store)
+        , m_stream({ "shard-0", Duration { 1 } }, m_log, clock, *this, m_counters)
+    {
+    }
+
+    void readAll()
+    {
+        m_stream.tick();
+        while (m_log.pending() > 0)
+            m_log.run();
+    }
+
+    const ShardState& state() const { return m_fold.state(); }
+    const std::map<std::pair<std::string, uint64_t>, int>& finished() const { return m_finished; }
+
+    FoldResult fold(uint64_t offset, const Json& record) override
+    {
+        const FoldResult result = m_fold.fold(offset, record);
+        if (result == FoldResult::Applied && record["kind"] == "ended" && record["reason"] == "finished")
+            ++m_finished[{ record["job"].get<std::string>(), record["index"].get<uint64_t>() }];
+        return result;
+    }
+    void advanceTo(uint64_t nextOffset) override { m_fold.advanceTo(nextOffset); }
+    uint64_t nextOffset() const override { return m_fold.nextOffset(); }
+    Json snapshot() const override { return m_fold.snapshot(); }
+    Result<void> load(const Json& snapshot) override { return m_fold.load(snapshot); }
+
+private:
+    MemoryLog m_log;
+    Counters m_counters;
+    ShardFold m_fold;
+    LogStream m_stream;
+    std::map<std::pair<std::string, uint64_t>, int> m_finished;
+};
+
 /// Entries with the real owner code for one shard, model agents, and a network and a log with faults, on one clock.
 class JobWorld {
 public:
@@ -73,6 +114,7 @@
             addAgent(entries);
         for (size_t i = 0; i < entries; ++i)
             addEntry();
+        m_links.resize(entries * agents);
         for (size_t entry = 0; entry < entries; ++entry) {
             for (size_t agent = 0; agent < agents; ++agent)
                 connect(entry, agent);
@@ -103,6 +145,9 @@
     void runStep()
     {
         m_clock.advance(step);
+        for (Entry& entry : m_entries)
+            entry.log->runEffects();
+        m_auditor.readAll();
         deliver();
         for (Agent& agent : m_agents) {
             agent.model->workerStep(now());
@@ -187,7 +232,6 @@
 
     void connect(size_t entry, size_t agent)
     {
-        m_links.resize(m_entries.size() * m_agents.size());
         Link& link = m_links[entry * m_agents.size() + agent];
         if (link.up || !m_entries[entry].owner)
             return;
@@ -213,26 +257,41 @@
             agent.pausedUntil = {};
     }
 
-    /// The shard as any reader of the log sees it; nullopt while no owner has authority.
-    const ShardState* state()
+    /// The shard as the log has it.
+    const ShardState& state() const { return m_auditor.state(); }
+
+    /// Whether every job has ended and nothing runs any more.
+    bool isAllDone() const
     {
-        const auto entry = owner();
-        return entry ? &ownerAt(*entry)->state() : nullptr;
+        return std::ranges::none_of(state().jobs(), [](const auto& named) {
+            const auto isOpen = [](const TaskState& task) { return task.open.has_value(); };
+            return named.second.phase == JobPhase::Active || std::ranges::any_of(named.second.tasks, isOpen);
+        });
     }
 
-    /// Whether every accepted job has ended and nothing runs any more.
-    bool isAllDone()
+    /// Accepted jobs that the log does not have, tasks finished more than once or never, results of another attempt.
+    std::set<std::string> auditEnds() const
     {
-        const ShardState* shard = state();
-        if (!shard)
-            return false;
-        for (const auto& [id, job] : shard->jobs()) {
-            const bool open
-                = std::ranges::any_of(job.tasks, [](const TaskState& task) { return task.open.has_value(); });
-            if (job.phase == JobPhase::Active || open)
-                return false;
+        std::set<std::string> faults;
+        for (const std::string& id : m_accepted) {
+            if (!state().job(id))
+                faults.insert("lost: " + id);
         }
-        return std::ranges::all_of(m_accepted, [&](const std::string& id) { return shard->job(id) != nullptr; });
+        for (const auto& [id, job] : state().jobs()) {
+            for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+                const TaskState& task = job.tasks[index];
+                const auto count = m_auditor.finished().find({ id, index });
+                const int finished = count == m_auditor.finished().end() ? 0 : count->second;
+                const AttemptKey last { id, index, task.lastAttempt };
+                const bool isFinished = task.phase == TaskPhase::Finished;
+                // The end of an attempt that was open at the cancellation is recorded and does not change the task.
+                const bool countIsRight
+                    = task.phase == TaskPhase::Cancelled ? finished <= 1 : finished == (isFinished ? 1 : 0);
+                if (!countIsRight || (isFinished && task.result != last.taskId()))
+                    faults.insert("ended wrongly: " + last.taskId());
+            }
+        }
+        return faults;
     }
 
 private:
@@ -267,12 +326,11 @@
     void addAgent(size_t entries)
     {
         const size_t index = m_agents.size();
-        ModelAgent::Observer observer { [this](const Start& start) { noteStart(start); },
-            [this](const AttemptEnded& ended) { noteAcknowledged(ended); } };
         m_agents.push_back(
             { std::make_unique<ModelAgent>(
                   "h" + std::to_string(index), index % 2 ? "sohar" : "muscat", m_agentSettings, entries, m_random,
-                  [this, index](size_t entry, const Message& message) { post(entry, index, false, message); }, observer,
+                  [this, index](size_t entry, const Message& message) { post(entry, index, false, message); },
+                  [this](const Start& start) { noteStart(start); },
                   [this](const std::string& name) { return m_control.state().isOut(name); }),
                 {} });
     }
@@ -358,7 +416,6 @@
 
     void stepEntry(Entry& entry)
     {
-        entry.log->runEffects();
         if (!entry.owner || now() < entry.pausedUntil)
             return;
         entry.log->runAnswers();
@@ -385,24 +442,22 @@
         ++m_starts;
         if (!m_started.insert(start.key).second)
             m_violations.insert("attempt started twice: " + start.key.taskId());
-        const auto evicted = m_evictedToken.find({ start.key.job, start.key.index, start.key.attempt - 1 });
-        if (evicted != m_evictedToken.end() && evicted->second != start.checkpoint)
+        const JobState* job = m_auditor.state().job(start.key.job);
+        const TaskState* task = job ? &job->tasks[start.key.index] : nullptr;
+        if (!task || !task->open || task->open->attempt != start.key.attempt)
+            m_violations.insert("started without an open attempt: " + start.key.taskId());
+        else if (task->checkpoint != start.checkpoint)
             m_violations.insert("resumed from another checkpoint: " + start.key.taskId());
     }
 
-    void noteAcknowledged(const AttemptEnded& ended)
-    {
-        if (ended.reason == EndReason::Evicted)
-            m_evictedToken[ended.key] = ended.token;
-    }
-
     std::mt19937_64 m_random;
     EntrySettings m_ownerSettings;
     EntrySettings m_agentSettings { shortSettings() };
     ManualClock m_clock;
     LogStore m_store;
+    LogAuditor m_auditor { m_store, m_clock };
     ModelControl m_control;
-    std::vector<Entry> m_entries;
+    std::deque<Entry> m_entries; ///< Environments refer to the settings, so that elements must not move.
     std::vector<Agent> m_agents;
     std::vector<Link> m_links;
     std::vector<Flight> m_flights;
@@ -410,7 +465,6 @@
     std::set<std::string> m_accepted;
     std::set<std::string> m_violations;
     std::set<AttemptKey> m_started;
-    std::map<AttemptKey, std::string> m_evictedToken;
     size_t m_starts { 0 };
     size_t m_gains { 0 };
 };
--- a/tests/support/ModelAgent.h
+++ b/tests/support/ModelAgent.h
@@ -17,21 +17,17 @@
 public:
     using Send = std::function<void(size_t entry, const Message& message)>;
 
-    /// `check` is told the key and checkpoint of each accepted start, and the acknowledged ends.
-    struct Observer {
-        std::function<void(const Start&)> started;
-        std::function<void(const AttemptEnded&)> acknowledged;
-    };
-
+    /// `started` is told of each start that the agent accepts.
     ModelAgent(std::string host, std::string dataCentre, const EntrySettings& settings, size_t entries,
-        std::mt19937_64& random, Send send, Observer observer, std::function<bool(const std::string&)> isOut)
+        std::mt19937_64& random, Send send, std::function<void(const Start&)> started,
+        std::function<bool(const std::string&)> isOut)
         : m_host(std::move(host))
         , m_dataCentre(std::move(dataCentre))
         , m_settings(settings)
         , m_firstAfterConnect(entries, true)
         , m_random(random)
         , m_send(std::move(send))
-        , m_observer(std::move(observer))
+        , m_started(std::move(started))
         , m_isOut(std::move(isOut))
         , m_offset(static_cast<int64_t>(random() % 1'000'000))
         , m_drift(static_cast<double>(random() % 21) / 1000.0 - 0.01)
@@ -115,7 +111,7 @@
         else if (const auto* stop = std::get_if<Stop>(&message))
             onStop(*stop);
         else if (const auto* ack = std::get_if<AttemptEndedAck>(&message))
-            onAck(*ack);
+            m_ended.erase(ack->key);
     }
 
 private:
@@ -212,7 +208,7 @@
         m_held[start.key] = Held { leaseEnd, start.spec, false, m_now };
         m_calls.push_back({ m_now + Duration { m_random() % 150 }, start.key, workerLease(leaseEnd),
             Duration { 200 + m_random() % 4000 }, m_random() % 12 == 0, start.spec });
-        m_observer.started(start);
+        m_started(start);
         return reply;
     }
 
@@ -236,15 +232,6 @@
         end(stop.key, stop.reason, task->second.token, {});
     }
 
-    void onAck(const AttemptEndedAck& ack)
-    {
-        const auto found = m_ended.find(ack.key);
-        if (found == m_ended.end())
-            return;
-        m_observer.acknowledged(found->second);
-        m_ended.erase(found);
-    }
-
     void end(const AttemptKey& key, EndReason reason, const std::string& token, const std::string& result)
     {
         m_held.erase(key);
@@ -269,6 +256,13 @@
             end(key, EndReason::Lost, {}, {});
     }
 
+    void checkpoint(const AttemptKey& key, WorkerTask& task)
+    {
+        task.token = key.taskId() + "@" + std::to_string(m_random() % 1000);
+        for (size_t entry = 0; entry < m_firstAfterConnect.size(); ++entry)
+            m_send(entry, Checkpointed { 0, key, task.token, 1 });
+    }
+
     void followTask(const AttemptKey& key)
     {
         WorkerTask& task = m_worker.at(key);
@@ -278,6 +272,8 @@
         case State::Running:
             if (workerLease(held.leaseEnd) > Duration { 0 })
                 task.leaseEnd = std::max(task.leaseEnd, m_now + workerLease(held.leaseEnd));
+            if (m_random() % 100 == 0)
+                checkpoint(key, task);
             return;
         case State::Finished:
             end(key, EndReason::Finished, {}, key.taskId());
@@ -299,7 +295,7 @@
     std::vector<bool> m_firstAfterConnect;
     std::mt19937_64& m_random;
     Send m_send;
-    Observer m_observer;
+    std::function<void(const Start&)> m_started;
     std::function<bool(const std::string&)> m_isOut;
     int64_t m_offset;
     double m_drift;
