Test the decisions one by one

Cause: the schedules show safety but not which rule of claims, leases, queue, placement or ejection is broken. Change: 18 tests with a clock passed in, one per rule.

--- /dev/null
+++ b/tests/unit/PlacementTest.cpp
@@ -0,0 +1,274 @@
+#include "coordination/Placement.h"
+#include "coordination/JobQueue.h"
+#include "coordination/LeaseBook.h"
+#include "coordination/ShardAuthority.h"
+#include "coordination/StartEjector.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlocklead {
+namespace {
+
+    constexpr Instant start { Duration { 100'000 } };
+
+    Instant after(int64_t ms) { return start + Duration { ms }; }
+
+    class ShardAuthorityTest : public testing::Test {
+    protected:
+        static ShardAuthority authority(const std::string& self) { return ShardAuthority({ self, 3 }, start); }
+        static std::string ranked(bool first)
+        {
+            return (rendezvousRank("a", 3) > rendezvousRank("b", 3)) == first ? "a" : "b";
+        }
+    };
+
+    // Guards against several entries that fight for a shard that has just become free.
+    TEST_F(ShardAuthorityTest, claim_unowned_isMadeByTheFirstRanked)
+    {
+        const std::vector<LiveEntry> seesFirst { { ranked(true), after(0) } };
+        const std::vector<LiveEntry> seesSecond { { ranked(false), after(0) } };
+        EXPECT_TRUE(authority(ranked(true)).shouldClaim({}, seesSecond, after(10)));
+        EXPECT_FALSE(authority(ranked(false)).shouldClaim({}, seesFirst, after(10)));
+    }
+
+    // Guards against a takeover from an owner that is only slow, and against a shard that stays with a dead owner.
+    TEST_F(ShardAuthorityTest, claim_ownedByAnother_waitsForTheOwnerTimeout)
+    {
+        ShardAuthority self = authority("x");
+        const ShardClaim claim { 4, "owner", "" };
+        EXPECT_FALSE(self.shouldClaim(claim, { { "owner", after(0) } }, after(2999)));
+        EXPECT_TRUE(self.shouldClaim(claim, { { "owner", after(0) } }, after(3001)));
+    }
+
+    // Guards against leases granted on the strength of a read that is older than D.
+    TEST_F(ShardAuthorityTest, authority_oldConfirmation_ends)
+    {
+        const ShardAuthority self = authority("a");
+        const ShardClaim claim { 4, "a", "" };
+        EXPECT_TRUE(self.holds(claim, 4, after(0), after(4999)));
+        EXPECT_FALSE(self.holds(claim, 4, after(0), after(5000)));
+        EXPECT_FALSE(self.holds({ 5, "b", "" }, 4, after(0), after(1)));
+        EXPECT_FALSE(self.holds(claim, 3, after(0), after(1)));
+    }
+
+    class LeaseBookTest : public testing::Test {
+    protected:
+        LeaseBook m_book { LeaseBook::Settings {} };
+        const AttemptKey m_key { "s0-a", 0, 1 };
+    };
+
+    // Guards against reassignment while the last lease may still run.
+    TEST_F(LeaseBookTest, lost_afterLease_waitsForMargin)
+    {
+        m_book.add(m_key);
+        m_book.noteSent(m_key, after(0), Stamp { 1, 50 });
+        EXPECT_FALSE(m_book.isProvedEnded(m_key, after(21'000)));
+        EXPECT_TRUE(m_book.isProvedEnded(m_key, after(21'001)));
+    }
+
+    // Guards against a new owner that ignores leases of the former one.
+    TEST_F(LeaseBookTest, lost_afterTakeover_waitsForAuthorityAndLease)
+    {
+        m_book.adopt(m_key, after(0));
+        EXPECT_FALSE(m_book.isProvedEnded(m_key, after(26'000)));
+        EXPECT_TRUE(m_book.isProvedEnded(m_key, after(26'001)));
+    }
+
+    // Guards against an absence that a start still on its way makes untrue.
+    TEST_F(LeaseBookTest, absence_beforeStartIsTooOld_provesNothing)
+    {
+        m_book.add(m_key);
+        m_book.noteSent(m_key, after(0), Stamp { 1, 50 });
+        m_book.noteAbsent(m_key, Stamp { 1, 2050 }, after(100));
+        EXPECT_FALSE(m_book.isProvedEnded(m_key, after(5000)));
+        m_book.noteAbsent(m_key, Stamp { 1, 2051 }, after(5000));
+        EXPECT_FALSE(m_book.isProvedEnded(m_key, after(6499)));
+        EXPECT_TRUE(m_book.isProvedEnded(m_key, after(6500)));
+    }
+
+    // Guards against an absence that the former owner's start makes untrue: nothing bounds that start.
+    TEST_F(LeaseBookTest, absence_ofAdoptedAttemptNeverListed_provesNothing)
+    {
+        m_book.adopt(m_key, after(0));
+        m_book.noteAbsent(m_key, Stamp { 1, 90'000 }, after(1));
+        EXPECT_FALSE(m_book.isProvedEnded(m_key, after(20'000)));
+    }
+
+    class JobQueueTest : public testing::Test {
+    protected:
+        void add(const std::string& id, const std::string& team, int64_t age, bool urgent = false)
+        {
+            m_queue.addJob({ id, team + "-work", team, { 1000, 100, 0 }, urgent, false, age });
+            m_queue.push({ id, 0 }, start);
+            m_queue.push({ id, 1 }, start);
+        }
+        std::string next()
+        {
+            const auto task = m_queue.next(start);
+            if (!task)
+                return "none";
+            m_queue.noteRunning(*m_queue.job(task->job));
+            return task->job;
+        }
+
+        Limits m_limits;
+        JobQueue m_queue { [this](std::string_view) { return &m_limits; } };
+    };
+
+    // Guards against one team that starves another, and against urgent work behind normal work.
+    TEST_F(JobQueueTest, next_severalTeams_urgentThenLowestShareThenAge)
+    {
+        m_queue.setCapacity({ 10'000, 10'000, 0 });
+        add("old", "one", 1);
+        add("newer", "one", 2);
+        add("other", "two", 3);
+        add("urgent", "three", 4, true);
+        std::vector<std::string> order;
+        for (int i = 0; i < 8; ++i)
+            order.push_back(next());
+        const std::vector<std::string> expected { "urgent", "urgent", "old", "other", "old", "other", "newer",
+            "newer" };
+        EXPECT_EQ(order, expected);
+        EXPECT_EQ(next(), "none");
+    }
+
+    // Guards against a team over its quota or an entry over `maxRunning`.
+    TEST_F(JobQueueTest, next_atLimit_handsOutNothing)
+    {
+        m_limits.teamQuota = { 1500, 0, 0 };
+        add("a", "one", 1);
+        EXPECT_EQ(next(), "a");
+        EXPECT_EQ(next(), "none");
+        m_limits = Limits {};
+        m_limits.maxRunning = 1;
+        EXPECT_EQ(next(), "none");
+        m_limits.maxRunning = 2;
+        EXPECT_EQ(next(), "a");
+    }
+
+    // Guards against a job that can run nowhere and blocks all others.
+    TEST_F(JobQueueTest, next_unplaceableOrHeldBackJob_isSkipped)
+    {
+        add("big", "one", 1);
+        add("held", "one", 2);
+        add("small", "one", 3);
+        m_queue.setUnplaceable("big", "too large");
+        m_queue.holdBack("held", after(1));
+        EXPECT_EQ(next(), "small");
+        EXPECT_EQ(m_queue.unplaceable().size(), 1);
+        m_queue.setUnplaceable("big", "");
+        EXPECT_EQ(next(), "big");
+    }
+
+    // Guards against a failing task that is retried without pause.
+    TEST_F(JobQueueTest, next_taskBackingOff_waits)
+    {
+        m_queue.addJob({ "a", "w", "t", { 1, 1, 0 }, false, false, 1 });
+        m_queue.push({ "a", 0 }, after(1000));
+        EXPECT_FALSE(m_queue.next(after(999)));
+        EXPECT_TRUE(m_queue.next(after(1000)));
+    }
+
+    class PlacementTest : public testing::Test {
+    protected:
+        static PlacementHost host(const std::string& name, const std::string& dataCentre, int64_t free)
+        {
+            return { name, dataCentre, dataCentre + "/r", { 8000, 8000, 0 }, { free, 8000, 0 }, true, { "lookup" } };
+        }
+        std::string choose() const
+        {
+            const auto chosen = Placement::chooseHost(m_request, m_hosts);
+            return chosen ? m_hosts[*chosen].name : "none";
+        }
+
+        std::vector<PlacementHost> m_hosts { host("a", "muscat", 8000), host("b", "muscat", 2000),
+            host("c", "sohar", 8000) };
+        PlacementRequest m_request { { 1000, 100, 0 }, {}, {}, {}, {} };
+    };
+
+    // Guards against fragmentation, and against a job that is lost whole with one data centre.
+    TEST_F(PlacementTest, host_choice_spreadsThenFitsBest)
+    {
+        EXPECT_EQ(choose(), "b");
+        m_request.tasksInDataCentre["muscat"] = 1;
+        EXPECT_EQ(choose(), "c");
+    }
+
+    // Guards against placement on hosts that are out, ejected, full or where the task has just failed.
+    TEST_F(PlacementTest, host_unusableOrAvoided_isNotChosen)
+    {
+        m_hosts[1].usable = false;
+        m_request.avoidedHost = "a";
+        EXPECT_EQ(choose(), "c");
+        m_request.resources.cpuMilli = 8001;
+        EXPECT_EQ(choose(), "none");
+        EXPECT_FALSE(Placement::fitsSomewhere(m_request.resources, m_hosts));
+    }
+
+    // Guards against noisy tasks beside the services that they slow down.
+    TEST_F(PlacementTest, host_withInterference_isLastChoice)
+    {
+        m_hosts[1].services = { "photo" };
+        m_request.interference["photo"] = 0.4;
+        EXPECT_EQ(choose(), "a");
+    }
+
+    // Guards against evictions that lose more progress than needed, or that make no room.
+    TEST_F(PlacementTest, evictions_forUrgentWork_loseLeastProgress)
+    {
+        m_request.resources.cpuMilli = 8000;
+        m_hosts = { host("a", "muscat", 6000), host("c", "sohar", 6000) };
+        const std::vector<EvictionCandidate> candidates { { { "s0-x", 0, 1 }, "a", { 1000, 0, 0 }, 50 },
+            { { "s0-x", 1, 1 }, "a", { 1000, 0, 0 }, 50 }, { { "s0-y", 0, 1 }, "c", { 2000, 0, 0 }, 20 },
+            { { "s0-y", 1, 1 }, "c", { 2000, 0, 0 }, 10 } };
+        const auto one = Placement::chooseEvictions(m_request, m_hosts, candidates, 1);
+        ASSERT_EQ(one.size(), 1);
+        EXPECT_EQ(one[0].key, (AttemptKey { "s0-y", 1, 1 }));
+        EXPECT_EQ(Placement::chooseEvictions(m_request, m_hosts, candidates, 5).size(), 3);
+    }
+
+    class StartEjectorTest : public testing::Test {
+    protected:
+        void fail(const std::string& host, int count, const std::string& job, int64_t ms)
+        {
+            for (int i = 0; i < count; ++i)
+                m_ejector.noteFailure(host, job, hosts, after(ms));
+        }
+
+        static constexpr size_t hosts = 10;
+        StartEjector m_ejector { StartEjector::Settings {} };
+    };
+
+    // Guards against a broken host that swallows all work, and a bad job that ejects good hosts.
+    TEST_F(StartEjectorTest, host_failingEverything_isEjected)
+    {
+        fail("h", 9, "bad-job", 0);
+        EXPECT_FALSE(m_ejector.isEjected("h", after(0)));
+        fail("h", 1, "second-job", 0);
+        EXPECT_TRUE(m_ejector.isEjected("h", after(29'999)));
+        EXPECT_FALSE(m_ejector.isEjected("h", after(30'000)));
+    }
+
+    // Guards against a burst of work onto a host that is still broken after its ejection.
+    TEST_F(StartEjectorTest, host_afterEjection_getsOneProbe)
+    {
+        fail("h", 4, "a", 0);
+        fail("h", 1, "b", 0);
+        m_ejector.notePlaced("h", after(30'000));
+        EXPECT_TRUE(m_ejector.isEjected("h", after(30'001)));
+        m_ejector.noteSuccess("h");
+        EXPECT_FALSE(m_ejector.isEjected("h", after(30'002)));
+    }
+
+    // Guards against a fault of the work itself that takes all hosts away.
+    TEST_F(StartEjectorTest, ejections_atMost30Percent)
+    {
+        for (const char* name : { "h1", "h2", "h3", "h4", "h5" }) {
+            fail(name, 4, "a", 0);
+            fail(name, 1, "b", 0);
+        }
+        EXPECT_EQ(m_ejector.ejected(after(1)).size(), 3);
+    }
+
+} // namespace
+} // namespace hemlocklead
