--- a/src/entry/TaskPlacer.cpp
+++ b/src/entry/TaskPlacer.cpp
@@ -126,7 +126,8 @@
 {
     const Instant now = m_environment.clock.now();
     m_queue.push(task, now);
-    m_queue.holdBack(task.job, now + holdBackTime);
+    // Urgent work tries again with the next tick, before other work can take the room that an eviction made.
+    m_queue.holdBack(task.job, now + (job.urgent ? Duration { 1 } : holdBackTime));
     const auto hosts = m_environment.hosts.hosts();
     if (!hosts.empty() && !Placement::fitsSomewhere(request.resources, hosts)) {
         m_queue.setUnplaceable(task.job, "a task is larger than any known host");
@@ -140,7 +141,11 @@
 void TaskPlacer::evictFor(const QueuedJob& job, const PlacementRequest& request)
 {
     const Instant now = m_environment.clock.now();
-    std::deque<Instant>& expected = m_shortages[job.id].evictionsExpire;
+    Shortage& shortage = m_shortages[job.id];
+    if (now < shortage.nextEviction)
+        return;
+    shortage.nextEviction = now + holdBackTime;
+    std::deque<Instant>& expected = shortage.evictionsExpire;
     while (!expected.empty() && expected.front() <= now)
         expected.pop_front();
     const size_t waiting = m_queue.waitingOf(job.id);
--- a/src/entry/TaskPlacer.h
+++ b/src/entry/TaskPlacer.h
@@ -36,8 +36,9 @@
         Instant sentAt;
         bool appending { false };
     };
-    /// Job whose tasks are held back because no host has room.
+    /// Urgent job that finds no room.
     struct Shortage {
+        Instant nextEviction;
         std::deque<Instant>
             evictionsExpire; ///< One per task that evictions were asked for and that was not placed yet.
     };
--- a/tests/support/ChaosLog.h
+++ b/tests/support/ChaosLog.h
@@ -25,8 +25,15 @@
     void setFaulty(bool faulty) { m_faulty = faulty; }
     void setDown(bool down) { m_down = down; }
 
+    /// Appends are stored but never answered, reads are not answered at all.
+    void setSilent(bool silent) { m_silent = silent; }
+
     void append(const std::string& stream, std::string data, std::function<void(AppendOutcome)> done) override
     {
+        if (m_silent) {
+            m_store.append(stream, data);
+            return;
+        }
         const uint64_t fault = m_faulty ? m_random() % 40 : 40;
         if (m_down && fault % 2 == 0) {
             answerLater([done] { done({ AppendOutcome::Status::NotStored, 0 }); });
@@ -50,6 +57,8 @@
     void read(const std::string& stream, uint64_t from, size_t limit,
         std::function<void(std::optional<LogPage>)> done) override
     {
+        if (m_silent)
+            return;
         if (m_down || (m_faulty && m_random() % 30 == 0)) {
             answerLater([done] { done(std::nullopt); });
             return;
@@ -98,6 +107,7 @@
     std::mt19937_64& m_random;
     bool m_faulty { false };
     bool m_down { false };
+    bool m_silent { false };
     std::vector<Event> m_effects;
     std::vector<Event> m_answers;
 };
--- a/tests/support/JobWorld.h
+++ b/tests/support/JobWorld.h
@@ -168,6 +168,7 @@
         }
         return std::nullopt;
     }
+    const ShardEnvironment& environment(size_t entry) const { return *m_entries[entry].environment; }
     ShardOwner* ownerAt(size_t entry) { return m_entries[entry].owner.get(); }
 
     void submit(const std::string& id, uint32_t tasks, bool urgent = false)
@@ -189,6 +190,7 @@
 
     void pauseEntry(size_t entry, Duration duration) { m_entries[entry].pausedUntil = now() + duration; }
     void pauseAgent(size_t agent, Duration duration) { m_agents[agent].pausedUntil = now() + duration; }
+    void setLogSilent(size_t entry, bool silent) { m_entries[entry].log->setSilent(silent); }
     void setLogDown(size_t entry, bool down) { m_entries[entry].log->setDown(down); }
 
     void killEntry(size_t entry)
--- a/tests/unit/JobScheduleTest.cpp
+++ b/tests/unit/JobScheduleTest.cpp
@@ -21,6 +21,39 @@
         EXPECT_TRUE(world.violations().empty());
     }
 
+    // Guards against urgent work that waits behind can-wait work on full hosts.
+    TEST(ShardOwnerTest, urgentJob_onFullHosts_startsWithin2400Ms)
+    {
+        JobWorld world(2, 1, 2);
+        world.run(Duration { 2000 });
+        world.submit("s0-batch", 60);
+        world.run(Duration { 300 });
+        world.submit("s0-urgent", 4, true);
+        world.run(Duration { 2400 });
+        const JobState* urgent = world.state().job("s0-urgent");
+        for (const TaskState& task : urgent->tasks)
+            EXPECT_GE(task.lastAttempt, 1);
+        world.run(Duration { 60'000 });
+        EXPECT_EQ(world.state().job("s0-batch")->phase, JobPhase::Finished);
+        EXPECT_TRUE(world.violations().empty());
+    }
+
+    // Guards against work that stays in, or goes to, a data centre that was taken out.
+    TEST(ShardOwnerTest, dataCentre_takenOut_isLeftAndWorkResumes)
+    {
+        JobWorld world(3, 1, 4);
+        world.run(Duration { 2000 });
+        world.submit("s0-a", 8);
+        world.run(Duration { 300 });
+        world.control().setOut("sohar", true);
+        world.run(Duration { 1500 });
+        for (const TaskState& task : world.state().job("s0-a")->tasks)
+            EXPECT_FALSE(task.open && (task.open->host == "h1" || task.open->host == "h3"));
+        world.run(Duration { 30'000 });
+        EXPECT_EQ(world.state().job("s0-a")->phase, JobPhase::Finished);
+        EXPECT_TRUE(world.violations().empty());
+    }
+
     constexpr uint64_t groups = 8;
     constexpr uint64_t schedulesPerGroup = 400;
     constexpr size_t agentCount = 4;
