--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,7 @@
 cmake --preset release
 cmake --build --preset release
 bash scripts/check-tidy.sh
-ctest --test-dir build/release --output-on-failure -j 6
+bash scripts/run-ctest.sh build/release
 cmake --preset sanitize
 cmake --build --preset sanitize
-ctest --test-dir build/sanitize --output-on-failure -j 6
+bash scripts/run-ctest.sh build/sanitize
