--- /dev/null
+++ b/src/transport/WorkerHttpClient.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "coordination/WorkerService.h"
+#include "transport/HttpClient.h"
+
+namespace hemlocklead {
+
+/// The platform's worker over HTTP, in the shape of design section 11.
+///
+/// A 2xx answer counts as done and a 4xx answer as rejected. A 5xx answer counts as unknown, because a worker may fail
+/// after it has acted.
+class WorkerHttpClient final : public WorkerService {
+public:
+    WorkerHttpClient(EventLoop& loop, const Address& address);
+
+    void capacity(std::function<void(std::optional<Resources>)> done) override;
+    void list(std::function<void(std::optional<std::vector<WorkerTask>>)> done) override;
+    void start(const WorkerTaskSpec& spec, Done done) override;
+    void renew(const std::string& id, Duration lease, Done done) override;
+    void checkpoint(const std::string& id, Done done) override;
+    void throttle(const std::string& id, double factor, Done done) override;
+    void stop(const std::string& id, Done done) override;
+
+private:
+    void send(std::string method, std::string path, const Json& body, Done done);
+
+    HttpClient m_client;
+};
+
+/// Resources in the worker's shape: `{cpu_milli, memory_mib, accelerators}`, and back. Missing fields are 0. Parsing
+/// fails with `InvalidRequest` on a wrong type.
+Json workerResourcesJson(const Resources& resources);
+Result<Resources> parseWorkerResources(const Json& json);
+
+} // namespace hemlocklead
