Run tasks from reservation to acknowledged end

Cause: the agent had no task side. An ended attempt is kept until the worker's list no longer shows it: the test showed that it was otherwise taken for a task of a former process and reported again. EntryLinks is not tested yet.

--- /dev/null
+++ b/src/agent/TaskService.cpp
@@ -0,0 +1,96 @@
+#include "agent/TaskService.h"
+
+#include "coordination/TaskAgent.h"
+
+namespace hemlocklead {
+
+namespace {
+
+    TaskAgent::Settings agentSettings(const AgentSettings& settings, uint64_t incarnation)
+    {
+        return { settings.dataCentre,
+            { incarnation, settings.startFreshness, settings.workerLease, settings.driftMargin },
+            settings.reservationTtl, settings.workerPoll, settings.throttling };
+    }
+
+} // namespace
+
+/// Connects the decisions with the links and the loop's timers.
+class TaskService::Core {
+public:
+    Core(EventLoop& loop, const Clock& clock, const AgentSettings& settings, const AgentControl& control,
+        EntryLinks& links, WorkerService& worker, Counters& counters)
+        : m_clock(clock)
+        , m_links(links)
+        , m_agent(clock, agentSettings(settings, links.incarnation()), control.state(), worker, counters,
+              [this](std::optional<size_t> entry, const Message& message) { send(entry, message); })
+        , m_tick(loop)
+    {
+    }
+
+    void start()
+    {
+        m_agent.tick();
+        m_tick.startRepeating(TaskAgent::tickInterval, [this] { tick(); });
+    }
+
+    void drain(Duration timeout, std::function<void()> done)
+    {
+        m_drainEnd = m_clock.now() + timeout;
+        m_drained = std::move(done);
+        m_agent.drain();
+    }
+
+    TaskAgent& agent() { return m_agent; }
+
+private:
+    void tick()
+    {
+        m_agent.tick();
+        if (!m_drained || (!m_agent.isDrained() && m_clock.now() < m_drainEnd))
+            return;
+        const std::function<void()> done = std::move(m_drained);
+        m_drained = nullptr;
+        done();
+    }
+
+    void send(std::optional<size_t> entry, const Message& message)
+    {
+        if (entry)
+            m_links.send(*entry, message);
+        else
+            m_links.sendToAll(message);
+    }
+
+    const Clock& m_clock;
+    EntryLinks& m_links;
+    TaskAgent m_agent;
+    Timer m_tick;
+    Instant m_drainEnd;
+    std::function<void()> m_drained; ///< Set while draining.
+};
+
+TaskService::TaskService(EventLoop& loop, const Clock& clock, const AgentSettings& settings,
+    const AgentControl& control, EntryLinks& links, WorkerService& worker, Counters& counters)
+    : m_core(std::make_shared<Core>(loop, clock, settings, control, links, worker, counters))
+{
+}
+
+TaskService::~TaskService() = default;
+
+void TaskService::start() { m_core->start(); }
+
+void TaskService::noteLatency(const std::string& service, int64_t latencyUs)
+{
+    m_core->agent().noteLatency(service, latencyUs);
+}
+
+void TaskService::drain(Duration timeout, std::function<void()> done) { m_core->drain(timeout, std::move(done)); }
+
+void TaskService::fillKeepalive(size_t entry, Keepalive& keepalive) { m_core->agent().fillKeepalive(entry, keepalive); }
+
+void TaskService::entryMessage(size_t entry, const Message& message) { m_core->agent().entryMessage(entry, message); }
+
+void TaskService::entryGone(size_t entry) { m_core->agent().entryGone(entry); }
+
+} // namespace hemlocklead
--- a/src/coordination/AttemptTable.cpp
+++ b/src/coordination/AttemptTable.cpp
@@ -146,7 +146,8 @@
     const Duration retention = m_limits.startFreshness + m_limits.driftMargin;
     std::erase_if(m_attempts, [&](const auto& entry) {
         const HeldAttempt& attempt = entry.second;
-        return attempt.stage == AttemptStage::Ended && attempt.acknowledged && now - attempt.endedAt >= retention;
+        const bool isSettled = attempt.acknowledged && !attempt.worker.listed;
+        return attempt.stage == AttemptStage::Ended && isSettled && now - attempt.endedAt >= retention;
     });
 }
 
--- a/src/coordination/AttemptTable.h
+++ b/src/coordination/AttemptTable.h
@@ -76,7 +76,8 @@
     /// False when there is no such ended attempt.
     bool acknowledge(const AttemptKey& key);
 
-    /// Drops ended attempts that need not be kept any longer.
+    /// Drops ended attempts that need not be kept any longer and that the worker has forgotten too; one that the worker
+    /// still lists would be taken for a task of a former process.
     void forget(Instant now);
 
     HeldAttempt* find(const AttemptKey& key);
--- a/src/coordination/HeldAttempt.h
+++ b/src/coordination/HeldAttempt.h
@@ -29,7 +29,9 @@
     Instant startedAt; ///< Time of the start call's answer; lists read before do not show the task.
     std::optional<Instant> unansweredAt; ///< The start call got no answer at that time.
     Instant leaseUntil; ///< Earliest end of the worker lease.
+    Instant nextRenew; ///< Earliest time of the next renewal call.
     Instant nextCheckpoint;
+    bool listed { false }; ///< The worker's last list shows the task.
     bool starting { false }; ///< A start call is under way.
     bool renewing { false };
     bool checkpointing { false };
--- a/tests/unit/AttemptTableTest.cpp
+++ b/tests/unit/AttemptTableTest.cpp
@@ -7,7 +7,7 @@
 
     class AttemptTableTest : public testing::Test {
     protected:
-        static constexpr Duration m_lease { 20'000 };
+        static constexpr Duration attemptLease { 20'000 };
         using Action = StartDecision::Action;
 
         ManualClock m_clock;
@@ -21,7 +21,7 @@
             Start message;
             message.key = m_key;
             message.echo = stamp();
-            message.lease = m_lease;
+            message.lease = attemptLease;
             return message;
         }
 
@@ -139,11 +139,11 @@
         const Instant stamped = m_clock.now();
         const Stamp echo = stamp();
         m_clock.advance(Duration { 10'000 });
-        EXPECT_TRUE(m_table.renew(m_key, echo, m_lease, m_clock.now()));
-        EXPECT_EQ(attempt.leaseEnd, stamped + m_lease);
-        EXPECT_TRUE(m_table.renew(m_key, stamp(), m_lease, m_clock.now()));
-        EXPECT_TRUE(m_table.renew(m_key, echo, m_lease, m_clock.now()));
-        EXPECT_EQ(attempt.leaseEnd, m_clock.now() + m_lease);
+        EXPECT_TRUE(m_table.renew(m_key, echo, attemptLease, m_clock.now()));
+        EXPECT_EQ(attempt.leaseEnd, stamped + attemptLease);
+        EXPECT_TRUE(m_table.renew(m_key, stamp(), attemptLease, m_clock.now()));
+        EXPECT_TRUE(m_table.renew(m_key, echo, attemptLease, m_clock.now()));
+        EXPECT_EQ(attempt.leaseEnd, m_clock.now() + attemptLease);
     }
 
     // Guards against a lapsed or stopping attempt coming back to life.
@@ -151,11 +151,11 @@
     {
         HeldAttempt& attempt = running();
         attempt.stage = AttemptStage::Stopping;
-        EXPECT_FALSE(m_table.renew(m_key, stamp(), m_lease, m_clock.now()));
+        EXPECT_FALSE(m_table.renew(m_key, stamp(), attemptLease, m_clock.now()));
         attempt.stage = AttemptStage::Running;
-        m_clock.advance(m_lease - Duration { 1000 });
+        m_clock.advance(attemptLease - Duration { 1000 });
         EXPECT_TRUE(m_table.isLapsed(attempt, m_clock.now()));
-        EXPECT_FALSE(m_table.renew(m_key, stamp(), m_lease, m_clock.now()));
+        EXPECT_FALSE(m_table.renew(m_key, stamp(), attemptLease, m_clock.now()));
         EXPECT_EQ(m_table.workerLease(attempt, m_clock.now()), Duration { 0 });
     }
 
