--- a/src/base/Clock.h
+++ b/src/base/Clock.h
@@ -14,12 +14,20 @@
 
     /// Monotonic time of this host, in milliseconds. Not comparable between hosts.
     virtual Instant now() const = 0;
+
+    /// The same clock in microseconds, for measured latencies and spans.
+    virtual std::chrono::microseconds preciseNow() const { return now().time_since_epoch(); }
 };
 
 /// Clock of the running process.
 class SystemClock final : public Clock {
 public:
     Instant now() const override { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+    std::chrono::microseconds preciseNow() const override
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::steady_clock::now().time_since_epoch());
+    }
 };
 
 /// Clock that moves only when told to.
--- /dev/null
+++ b/src/entry/Exchange.cpp
@@ -0,0 +1,74 @@
+#include "entry/Exchange.h"
+
+#include <cassert>
+
+namespace hemlocklead {
+
+Exchange::Exchange(CallRequest request, Answer answer)
+    : m_request(std::move(request))
+    , m_answer(std::move(answer))
+{
+}
+
+void Exchange::tryStarted(const std::string& id, Try started)
+{
+    assert(m_request.idempotent || (m_tries.empty() && !m_mayHaveRun));
+    m_triedHosts.insert(started.host);
+    m_tries.emplace(id, std::move(started));
+}
+
+std::optional<Exchange::Try> Exchange::takeTry(const std::string& id)
+{
+    const auto found = m_tries.find(id);
+    if (found == m_tries.end())
+        return std::nullopt;
+    Try taken = std::move(found->second);
+    m_tries.erase(found);
+    return taken;
+}
+
+Exchange::Step Exchange::afterNotRun(ErrorKind reason)
+{
+    m_lastRefusal = reason;
+    if (!m_tries.empty())
+        return Step::Wait;
+    if (isFreeRefusal(reason) && m_freeRetries < maxFreeRetries) {
+        ++m_freeRetries;
+        return Step::Retry;
+    }
+    if (isFreeRefusal(reason) || m_budgetRetries >= maxBudgetRetries)
+        return Step::GiveUp;
+    ++m_budgetRetries;
+    return Step::RetryOnBudget;
+}
+
+Exchange::Step Exchange::afterUnknown()
+{
+    m_mayHaveRun = true;
+    if (!m_tries.empty())
+        return Step::Wait;
+    if (!m_request.idempotent || m_budgetRetries >= maxBudgetRetries)
+        return Step::GiveUp;
+    ++m_budgetRetries;
+    return Step::RetryOnBudget;
+}
+
+ErrorKind Exchange::failure() const
+{
+    if (m_mayHaveRun || !m_tries.empty())
+        return ErrorKind::OutcomeUnknown;
+    return m_lastRefusal.value_or(ErrorKind::Timeout);
+}
+
+Duration Exchange::retryDelay() const
+{
+    constexpr Duration firstDelay { 5 };
+    return m_retries == 0 ? Duration { 0 } : firstDelay * (1 << (2 * (m_retries - 1)));
+}
+
+bool Exchange::isFreeRefusal(ErrorKind reason) const
+{
+    return reason == ErrorKind::Leaving || reason == ErrorKind::Overloaded || reason == ErrorKind::DataCentreOut;
+}
+
+} // namespace hemlocklead
--- a/src/protocol/Messages.h
+++ b/src/protocol/Messages.h
@@ -191,6 +191,7 @@
     int status { 0 };
     std::vector<HeaderField> headers;
     std::string body;
+    uint64_t bodyBytes { 0 }; ///< Length of `body`.
     uint64_t bodyHash { 0 }; ///< XXH3-64 of `body`.
     Duration atTarget { 0 }; ///< Time the target took.
     int64_t busy { 0 }; ///< Slots in use at the agent, for routing.
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -1,14 +1,17 @@
 #include "transport/HttpClient.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <list>
+#include <utility>
 
 namespace hemlocklead {
 
@@ -51,9 +54,19 @@
         return response;
     }
 
-    void freeConnection(evutil_socket_t, short, void* connection)
+    /// The library's own timeout must not end an exchange before ours does.
+    constexpr int nativeTimeoutSeconds = 3600;
+
+    /// Whether an idle connection was closed by the other side, or holds bytes that belong to no request. Either may
+    /// have happened since the library last looked.
+    bool isStale(evhttp_connection* connection)
     {
-        evhttp_connection_free(static_cast<evhttp_connection*>(connection));
+        bufferevent* native = evhttp_connection_get_bufferevent(connection);
+        if (evbuffer_get_length(bufferevent_get_input(native)) > 0)
+            return true;
+        const evutil_socket_t socket = bufferevent_getfd(native);
+        char byte = 0;
+        return socket >= 0 && recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
     }
 
 } // namespace
@@ -76,13 +89,20 @@
     {
     }
 
+    ~Exchange() { stopWatching(); }
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
+
     void start(const HttpRequest& request, const Address& address);
     void timedOut();
     evhttp_connection* connection() const { return m_connection; }
 
 private:
     static void completed(evhttp_request* native, void* self);
-    static void failed(evhttp_request_error error, void* self);
+    static void outputChanged(evbuffer*, const evbuffer_cb_info* info, void* self);
+    evbuffer* output() const { return bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)); }
+    void stopWatching();
+    HttpExchange withoutAnswer() const;
     void finish(HttpExchange result);
 
     Core& m_core;
@@ -90,7 +110,9 @@
     evhttp_request* m_native { nullptr };
     Callback m_callback;
     std::unique_ptr<Timer> m_timer;
-    bool m_failedAfterSend { false };
+    bool m_watching { false };
+    bool m_starting { false };
+    bool m_mayBeSent { false }; ///< A byte of the request was handed to the connection's output.
 };
 
 struct HttpClient::Core : std::enable_shared_from_this<HttpClient::Core> {
@@ -98,28 +120,46 @@
         : loop(eventLoop)
         , address(std::move(target))
         , maxConnections(most)
+        , retireTimer(eventLoop)
     {
     }
 
+    ~Core();
+    Core(const Core&) = delete;
+    Core& operator=(const Core&) = delete;
+
     evhttp_connection* takeConnection();
     void startWaiting();
     void exchangeEnded(Exchange* exchange, HttpExchange result, const Callback& callback);
     void freeLater(evhttp_connection* connection);
+    void freeRetired();
+    void closeIdle();
     void dropWaiting(const Waiting* waiting);
 
     EventLoop& loop;
     Address address;
     size_t maxConnections;
     bool closed { false };
+    int callbackDepth { 0 };
     std::vector<evhttp_connection*> idle;
+    std::vector<evhttp_connection*> retired; ///< Freed from the loop: the library may still use them.
+    Timer retireTimer;
     std::list<std::unique_ptr<Exchange>> running;
     std::list<std::unique_ptr<Waiting>> waiting;
 };
 
+HttpClient::Core::~Core()
+{
+    for (const std::unique_ptr<Exchange>& exchange : running)
+        retired.push_back(exchange->connection());
+    running.clear();
+    closeIdle();
+    freeRetired();
+}
+
 void HttpClient::Exchange::start(const HttpRequest& request, const Address& address)
 {
     m_native = evhttp_request_new(&Exchange::completed, this);
-    evhttp_request_set_error_cb(m_native, &Exchange::failed);
     evkeyvalq* headers = evhttp_request_get_output_headers(m_native);
     evhttp_add_header(headers, "Host", address.text().c_str());
     for (const HeaderField& header : request.headers)
@@ -127,37 +167,55 @@
     evbuffer_add(evhttp_request_get_output_buffer(m_native), request.body.data(), request.body.size());
     if (!request.body.empty() && request.header("Content-Length").empty())
         evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
-    if (evhttp_make_request(m_connection, m_native, methodType(request.method), request.path.c_str()) != 0) {
+    evbuffer_add_cb(output(), &Exchange::outputChanged, this);
+    m_watching = true;
+    m_starting = true;
+    const int started = evhttp_make_request(m_connection, m_native, methodType(request.method), request.path.c_str());
+    m_starting = false;
+    if (started != 0)
         m_native = nullptr;
-        m_timer->startOnce(Duration { 0 }, [this] { finish({ HttpExchange::Status::NotSent, {} }); });
-    }
+    // Without a socket for the connection, the library completes or refuses the request inside the call.
+    if (!m_native)
+        m_timer->startOnce(Duration { 0 }, [this] { finish(withoutAnswer()); });
 }
 
-void HttpClient::Exchange::timedOut() { finish({ HttpExchange::Status::Unknown, {} }); }
+void HttpClient::Exchange::timedOut() { finish(withoutAnswer()); }
 
-void HttpClient::Exchange::failed(evhttp_request_error, void* self)
+void HttpClient::Exchange::outputChanged(evbuffer*, const evbuffer_cb_info* info, void* self)
 {
-    static_cast<Exchange*>(self)->m_failedAfterSend = true;
+    if (info->n_added > 0)
+        static_cast<Exchange*>(self)->m_mayBeSent = true;
 }
 
 void HttpClient::Exchange::completed(evhttp_request* native, void* self)
 {
     auto* exchange = static_cast<Exchange*>(self);
     exchange->m_native = nullptr;
-    if (native && evhttp_request_get_response_code(native) != 0) {
-        exchange->finish({ HttpExchange::Status::Answered, parseNative(native) });
+    if (exchange->m_starting)
         return;
-    }
-    // The error callback runs only for failures after the connection was made; without it connecting failed.
-    const bool mayBeSent = exchange->m_failedAfterSend || !native;
-    exchange->finish({ mayBeSent ? HttpExchange::Status::Unknown : HttpExchange::Status::NotSent, {} });
+    if (native && evhttp_request_get_response_code(native) != 0)
+        exchange->finish({ HttpExchange::Status::Answered, parseNative(native) });
+    else
+        exchange->finish(exchange->withoutAnswer());
+}
+
+void HttpClient::Exchange::stopWatching()
+{
+    if (m_watching)
+        evbuffer_remove_cb(output(), &Exchange::outputChanged, this);
+    m_watching = false;
+}
+
+HttpExchange HttpClient::Exchange::withoutAnswer() const
+{
+    return { m_mayBeSent ? HttpExchange::Status::Unknown : HttpExchange::Status::NotSent, {} };
 }
 
 void HttpClient::Exchange::finish(HttpExchange result)
 {
+    stopWatching();
     if (m_native) {
-        // Timed out: keep the library from calling back into this exchange.
-        evhttp_request_set_error_cb(m_native, nullptr);
+        // Timed out: the library does not call back for a cancelled request.
         evhttp_cancel_request(m_native);
         m_native = nullptr;
     }
@@ -167,16 +225,19 @@
 
 evhttp_connection* HttpClient::Core::takeConnection()
 {
-    if (!idle.empty()) {
+    while (!idle.empty()) {
         evhttp_connection* connection = idle.back();
         idle.pop_back();
-        return connection;
+        if (!isStale(connection))
+            return connection;
+        freeLater(connection);
     }
     evhttp_connection* connection
         = evhttp_connection_base_new(loop.native(), nullptr, address.ip.c_str(), address.port);
     evhttp_connection_set_max_body_size(connection, maxBodyBytes);
     evhttp_connection_set_max_headers_size(connection, maxHeaderBytes);
     evhttp_connection_set_retries(connection, 0);
+    evhttp_connection_set_timeout(connection, nativeTimeoutSeconds);
     return connection;
 }
 
@@ -197,6 +258,7 @@
 void HttpClient::Core::exchangeEnded(Exchange* exchange, HttpExchange result, const Callback& callback)
 {
     const std::shared_ptr<Core> keep = shared_from_this();
+    ++callbackDepth;
     const bool reusable = result.status == HttpExchange::Status::Answered && !closed;
     if (reusable)
         idle.push_back(exchange->connection());
@@ -206,12 +268,25 @@
     if (!closed)
         callback(std::move(result));
     startWaiting();
+    --callbackDepth;
 }
 
 void HttpClient::Core::freeLater(evhttp_connection* connection)
 {
-    // The library may still use the connection after the callback that we are in.
-    event_base_once(loop.native(), -1, EV_TIMEOUT, &freeConnection, connection, nullptr);
+    retired.push_back(connection);
+    retireTimer.startOnce(Duration { 0 }, [this] { freeRetired(); });
+}
+
+void HttpClient::Core::freeRetired()
+{
+    for (evhttp_connection* connection : std::exchange(retired, {}))
+        evhttp_connection_free(connection);
+}
+
+void HttpClient::Core::closeIdle()
+{
+    for (evhttp_connection* connection : std::exchange(idle, {}))
+        freeLater(connection);
 }
 
 void HttpClient::Core::dropWaiting(const Waiting* dropped)
@@ -233,20 +308,23 @@
 {
     m_core->closed = true;
     m_core->waiting.clear();
-    for (const std::unique_ptr<Exchange>& exchange : m_core->running)
-        evhttp_connection_free(exchange->connection());
-    m_core->running.clear();
-    for (evhttp_connection* connection : m_core->idle)
-        evhttp_connection_free(connection);
+    // Inside a callback the library still uses the connection, so the rest is freed from the loop.
+    if (m_core->callbackDepth > 0)
+        event_base_once(
+            m_core->loop.native(), -1, EV_TIMEOUT, &releaseCore, new std::shared_ptr<Core>(m_core), nullptr);
 }
 
+void HttpClient::releaseCore(int, short, void* core) { delete static_cast<std::shared_ptr<Core>*>(core); }
+
+void HttpClient::closeIdle() { m_core->closeIdle(); }
+
 void HttpClient::send(HttpRequest request, Duration timeout, Callback callback)
 {
     auto entry = std::make_unique<Waiting>(
         Waiting { std::move(request), std::move(callback), std::make_unique<Timer>(m_core->loop) });
     Core* core = m_core.get();
     const Waiting* raw = entry.get();
-    entry->timer->startOnce(timeout, [core, raw] { core->dropWaiting(raw); });
+    entry->timer->startOnce(std::max(timeout, Duration { 0 }), [core, raw] { core->dropWaiting(raw); });
     core->waiting.push_back(std::move(entry));
     core->startWaiting();
 }
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -38,9 +38,14 @@
     /// Sends `request`; the exchange ends as `Unknown` or `NotSent` when `timeout` passes.
     void send(HttpRequest request, Duration timeout, Callback callback);
 
+    /// Closes the connections without an exchange, for example after a response that belongs to another request.
+    void closeIdle();
+
     const Address& address() const { return m_address; }
 
 private:
+    static void releaseCore(int, short, void* core);
+
     class Exchange;
     struct Waiting;
     struct Core;
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <array>
+#include <utility>
 
 namespace hemlocklead {
 
@@ -70,6 +71,20 @@
     evbuffer_free(body);
 }
 
+void HttpResponder::abort()
+{
+    if (!m_request)
+        return;
+    evhttp_request* request = std::exchange(m_request, nullptr);
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    if (!connection) {
+        evhttp_request_free(request);
+        return;
+    }
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    evhttp_connection_free(connection);
+}
+
 void HttpResponder::connectionClosed(evhttp_connection*, void* self)
 {
     auto* responder = static_cast<HttpResponder*>(self);
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -25,6 +25,9 @@
     /// Sends the response; later calls do nothing.
     void reply(const HttpResponse& response);
 
+    /// Closes the connection without a response.
+    void abort();
+
     /// Whether the caller has closed its connection.
     bool isGone() const { return m_gone; }
 
