Test the HTTP client and server against raw sockets

Cause: the transport was hardly tested. Two faults showed under the sanitizers: a response to HEAD carried its body, so that a caller on a kept connection took it for the next response; and a caller that closed its connection while its request was being answered was never noticed, because evhttp does not read during that time.

Change: no body after HEAD, 204 and 304. HttpResponder watches the socket with an event of its own and peeks, because evhttp ends the process when it reads in its writing state. HttpResponder::abort closes without a response, for stand-ins.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,9 +1,13 @@
 #include "transport/HttpServer.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <sys/socket.h>
+
 #include <array>
 #include <utility>
 
@@ -43,27 +47,40 @@
         return request;
     }
 
+    /// Whether a response has no body by its status or by the request's method; the library would send it.
+    bool isBodyless(evhttp_request* request, int status)
+    {
+        return evhttp_request_get_command(request) == EVHTTP_REQ_HEAD || status == 204 || status == 304;
+    }
+
 } // namespace
 
 HttpResponder::HttpResponder(evhttp_request* request)
     : m_request(request)
 {
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), &HttpResponder::connectionClosed, this);
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    evhttp_connection_set_closecb(connection, &HttpResponder::connectionClosed, this);
+    // The library does not read while a request is being answered, so it would not see that the caller goes.
+    const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    m_readable
+        = event_new(evhttp_connection_get_base(connection), socket, EV_READ, &HttpResponder::becameReadable, this);
+    event_add(m_readable, nullptr);
 }
 
 HttpResponder::~HttpResponder() { reply(errorResponse({ ErrorKind::Internal, "request was dropped" })); }
 
 void HttpResponder::reply(const HttpResponse& response)
 {
-    if (!m_request)
+    evhttp_request* request = release();
+    if (!request)
         return;
-    evhttp_request* request = m_request;
-    m_request = nullptr;
-    if (evhttp_connection* connection = evhttp_request_get_connection(request))
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     for (const HeaderField& header : response.headers)
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    if (isBodyless(request, response.status)) {
+        evhttp_send_reply(request, response.status, nullptr, nullptr);
+        return;
+    }
     evbuffer* body = evbuffer_new();
     evbuffer_add(body, response.body.data(), response.body.size());
     // Frees the request, also when its connection has closed.
@@ -73,29 +90,60 @@
 
 void HttpResponder::abort()
 {
-    if (!m_request)
+    evhttp_request* request = release();
+    if (!request)
         return;
-    evhttp_request* request = std::exchange(m_request, nullptr);
-    evhttp_connection* connection = evhttp_request_get_connection(request);
-    if (!connection) {
+    if (evhttp_connection* connection = evhttp_request_get_connection(request))
+        evhttp_connection_free(connection);
+    else
         evhttp_request_free(request);
+}
+
+evhttp_request* HttpResponder::release()
+{
+    stopWatching();
+    evhttp_request* request = std::exchange(m_request, nullptr);
+    evhttp_connection* connection = request ? evhttp_request_get_connection(request) : nullptr;
+    if (connection)
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    return request;
+}
+
+void HttpResponder::stopWatching()
+{
+    if (m_readable)
+        event_free(m_readable);
+    m_readable = nullptr;
+}
+
+void HttpResponder::callerGone()
+{
+    m_gone = true;
+    const std::function<void()> onGone = std::exchange(m_onGone, nullptr);
+    if (onGone)
+        onGone();
+}
+
+void HttpResponder::becameReadable(int socket, short, void* self)
+{
+    auto* responder = static_cast<HttpResponder*>(self);
+    char byte = 0;
+    // A caller that sends its next request early is not watched any more.
+    if (recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
         return;
-    }
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    evhttp_connection_free(connection);
+    responder->stopWatching();
+    responder->callerGone();
 }
 
 void HttpResponder::connectionClosed(evhttp_connection*, void* self)
 {
     auto* responder = static_cast<HttpResponder*>(self);
-    responder->m_gone = true;
+    responder->stopWatching();
     // The library detaches the request from a connection that the caller closed and leaves it to us, but frees it
     // itself while the server is being destroyed.
     if (responder->m_request && evhttp_request_get_connection(responder->m_request))
         responder->m_request = nullptr;
-    const std::function<void()> onGone = std::move(responder->m_onGone);
-    if (onGone)
-        onGone();
+    responder->callerGone();
 }
 
 HttpServer::HttpServer(EventLoop& loop, Handler handler)
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 
+struct event;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -35,9 +36,15 @@
     void onGone(std::function<void()> handler) { m_onGone = std::move(handler); }
 
 private:
+    /// Gives up the request and returns it; null when it was answered or freed before.
+    evhttp_request* release();
+    void stopWatching();
+    void callerGone();
     static void connectionClosed(evhttp_connection*, void* self);
+    static void becameReadable(int socket, short, void* self);
 
     evhttp_request* m_request;
+    event* m_readable { nullptr }; ///< Watches for a caller that closes its connection.
     bool m_gone { false };
     std::function<void()> m_onGone;
 };
--- /dev/null
+++ b/tests/unit/HttpClientTest.cpp
@@ -0,0 +1,218 @@
+#include "transport/HttpClient.h"
+#include "RawSockets.h"
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <atomic>
+#include <optional>
+
+namespace hemlocklead {
+namespace {
+
+    using Status = HttpExchange::Status;
+
+    class HttpClientTest : public testing::Test {
+    protected:
+        static HttpRequest makeRequest(std::string method = "POST")
+        {
+            return { std::move(method), "/x", {}, method == "POST" ? "body" : "" };
+        }
+
+        HttpExchange send(HttpClient& client, HttpRequest request, Duration timeout = Duration { 1500 })
+        {
+            std::optional<HttpExchange> result;
+            client.send(std::move(request), timeout, [&](HttpExchange exchange) {
+                result = std::move(exchange);
+                m_loop.stop();
+            });
+            EXPECT_FALSE(result) << "the callback ran inside send";
+            if (!result)
+                m_loop.run();
+            runFor(Duration { 1 });
+            return *result;
+        }
+
+        void runFor(Duration time)
+        {
+            Timer timer(m_loop);
+            timer.startOnce(time, [this] { m_loop.stop(); });
+            m_loop.run();
+        }
+
+        /// Status of one POST to a server that writes `answer` and closes.
+        Status statusAfter(std::string_view answer)
+        {
+            RawServer server([answer](int socket, int) {
+                rawReadMessage(socket);
+                rawWrite(socket, answer);
+            });
+            HttpClient client(m_loop, server.address(), 1);
+            return send(client, makeRequest()).status;
+        }
+
+        EventLoop m_loop;
+    };
+
+    // Guards against passing on part of a body as the whole answer.
+    TEST_F(HttpClientTest, client_truncatedAnswers_areUnknown)
+    {
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nContent-Le"), Status::Unknown);
+        EXPECT_EQ(statusAfter(""), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"), Status::Answered);
+    }
+
+    // Guards against a malformed or oversized answer taken for a good one.
+    TEST_F(HttpClientTest, client_malformedAnswers_areUnknown)
+    {
+        EXPECT_EQ(statusAfter("nonsense\r\n\r\n"), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 abc OK\r\n\r\n"), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nno colon\r\n\r\n"), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n"), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nContent-Length: 3x\r\n\r\nabc"), Status::Unknown);
+        EXPECT_EQ(statusAfter("HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" + std::string(1048577, 'a')),
+            Status::Unknown);
+        EXPECT_EQ(
+            statusAfter("HTTP/1.1 200 OK\r\nX: " + std::string(maxHeaderBytes, 'a') + "\r\n\r\n"), Status::Unknown);
+    }
+
+    // Guards against a refused connection counted as possibly run.
+    TEST_F(HttpClientTest, client_connectionRefused_isNotSent)
+    {
+        HttpClient client(m_loop, unusedAddress(), 2);
+        EXPECT_EQ(send(client, makeRequest()).status, Status::NotSent);
+    }
+
+    // Guards against "not sent" for a request that the other side read.
+    TEST_F(HttpClientTest, client_resetAfterRequest_isUnknown)
+    {
+        RawServer server([](int socket, int) {
+            rawReadMessage(socket);
+            resetOnClose(socket);
+        });
+        HttpClient client(m_loop, server.address(), 1);
+        EXPECT_EQ(send(client, makeRequest()).status, Status::Unknown);
+    }
+
+    // Guards against an answer, or a crash, when the connection is reset before the request was read.
+    TEST_F(HttpClientTest, client_resetBeforeRequest_isNeverAnswered)
+    {
+        RawServer server([](int socket, int) { resetOnClose(socket); });
+        HttpClient client(m_loop, server.address(), 1);
+        for (int i = 0; i < 20; ++i)
+            EXPECT_NE(send(client, makeRequest()).status, Status::Answered);
+    }
+
+    // Guards against losing requests to connections that the server closed while they were idle.
+    TEST_F(HttpClientTest, client_idleConnectionClosed_isReplaced)
+    {
+        RawServer server([](int socket, int) {
+            rawReadMessage(socket);
+            rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+        HttpClient client(m_loop, server.address(), 1);
+        for (int i = 0; i < 5; ++i) {
+            EXPECT_EQ(send(client, makeRequest()).status, Status::Answered) << i;
+            usleep(5000); // The loop does not run, so the library has not seen the close.
+        }
+    }
+
+    // Guards against bytes of a former exchange taken for the answer to the next one.
+    TEST_F(HttpClientTest, client_strayAnswerOnIdleConnection_isDropped)
+    {
+        RawServer server([](int socket, int connection) {
+            rawReadMessage(socket);
+            const std::string own = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(connection);
+            rawWrite(socket, own);
+            usleep(2000);
+            rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+            rawReadMessage(socket);
+        });
+        HttpClient client(m_loop, server.address(), 1);
+        EXPECT_EQ(send(client, makeRequest()).response.body, "0");
+        usleep(20'000);
+        const HttpExchange second = send(client, makeRequest(), Duration { 3000 });
+        EXPECT_EQ(second.response.body, "1");
+    }
+
+    // Guards against a late answer on a connection whose request timed out.
+    TEST_F(HttpClientTest, client_timeoutAfterSend_isUnknownAndClosesTheConnection)
+    {
+        RawServer server([](int socket, int connection) {
+            rawReadMessage(socket);
+            usleep(connection == 0 ? 100'000 : 0);
+            rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(connection));
+        });
+        HttpClient client(m_loop, server.address(), 1);
+        EXPECT_EQ(send(client, makeRequest(), Duration { 30 }).status, Status::Unknown);
+        EXPECT_EQ(send(client, makeRequest()).response.body, "1");
+    }
+
+    // Guards against "unknown" for a request that never got a connection.
+    TEST_F(HttpClientTest, client_timeoutBeforeConnected_isNotSent)
+    {
+        RawServer server(0);
+        const int fillers[] = { rawConnect(server.address()) };
+        HttpClient filling(m_loop, server.address(), 4);
+        for (int i = 0; i < 4; ++i)
+            filling.send(makeRequest(), Duration { 5000 }, [](const HttpExchange&) {});
+        runFor(Duration { 20 });
+        HttpClient client(m_loop, server.address(), 1);
+        int notSent = 0;
+        client.send(makeRequest(), Duration { 60 },
+            [&](const HttpExchange& exchange) { notSent += exchange.status == Status::NotSent; });
+        client.send(makeRequest(), Duration { 60 },
+            [&](const HttpExchange& exchange) { notSent += exchange.status == Status::NotSent; });
+        runFor(Duration { 150 });
+        EXPECT_EQ(notSent, 2);
+        close(fillers[0]);
+    }
+
+    // Guards against waiting for a body that HEAD, 204 and 304 do not have.
+    TEST_F(HttpClientTest, client_answersWithoutBody_areWhole)
+    {
+        RawServer server([](int socket, int) {
+            rawReadMessage(socket);
+            rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+            rawReadMessage(socket);
+            rawWrite(socket, "HTTP/1.1 204 No Content\r\n\r\n");
+            rawReadMessage(socket);
+            rawWrite(socket, "HTTP/1.1 304 Not Modified\r\nContent-Length: 10\r\n\r\n");
+            rawReadMessage(socket);
+        });
+        HttpClient client(m_loop, server.address(), 1);
+        EXPECT_EQ(send(client, makeRequest("HEAD")).response.status, 200);
+        EXPECT_EQ(send(client, makeRequest("GET")).response.status, 204);
+        EXPECT_EQ(send(client, makeRequest("GET")).response.status, 304);
+    }
+
+    // Guards against use of freed memory when the client goes while exchanges run or inside a callback.
+    TEST_F(HttpClientTest, client_destroyedWithExchanges_dropsTheirCallbacks)
+    {
+        RawServer server([](int socket, int) {
+            rawReadMessage(socket);
+            rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+        int calls = 0;
+        auto client = std::make_unique<HttpClient>(m_loop, server.address(), 2);
+        for (int i = 0; i < 6; ++i) {
+            client->send(makeRequest(), Duration { 1000 }, [&](const HttpExchange&) {
+                ++calls;
+                client.reset();
+            });
+        }
+        auto refused = std::make_unique<HttpClient>(m_loop, unusedAddress(), 2);
+        refused->send(makeRequest(), Duration { 1000 }, [&](const HttpExchange&) { refused.reset(); });
+        auto dropped = std::make_unique<HttpClient>(m_loop, server.address(), 2);
+        dropped->send(makeRequest(), Duration { 1000 }, [&](const HttpExchange&) { ++calls; });
+        dropped.reset();
+        runFor(Duration { 100 });
+        EXPECT_EQ(calls, 1);
+        EXPECT_FALSE(refused);
+    }
+
+} // namespace
+} // namespace hemlocklead
--- /dev/null
+++ b/tests/unit/HttpServerTest.cpp
@@ -0,0 +1,162 @@
+#include "transport/HttpServer.h"
+#include "RawSockets.h"
+#include "transport/HttpClient.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <future>
+#include <vector>
+
+namespace hemlocklead {
+namespace {
+
+    class HttpServerTest : public testing::Test {
+    protected:
+        void SetUp() override
+        {
+            m_address = unusedAddress();
+            m_server = std::make_unique<HttpServer>(
+                m_loop, [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+                    m_requests.push_back(request);
+                    if (m_holds)
+                        m_held.push_back(responder);
+                    else if (!m_drops)
+                        responder->reply({ 200, {}, "answer to " + request.path });
+                });
+            orElse(
+                [&]() -> Result<bool> {
+                    BOOST_LEAF_CHECK(m_server->listen(m_address));
+                    return true;
+                },
+                [](const Error& error) {
+                    ADD_FAILURE() << error.message;
+                    return false;
+                });
+        }
+
+        /// Runs the loop while `client` runs in a thread of its own.
+        template <typename Client> auto runWith(Client client)
+        {
+            auto result = std::async(std::launch::async, client);
+            Timer timer(m_loop);
+            timer.startRepeating(Duration { 2 }, [&] {
+                if (result.wait_for(std::chrono::seconds { 0 }) == std::future_status::ready)
+                    m_loop.stop();
+            });
+            m_loop.run();
+            return result.get();
+        }
+
+        /// What the server writes in response to `bytes`, after which the caller has nothing more to say.
+        std::string answerTo(const std::string& bytes)
+        {
+            return runWith([address = m_address, bytes] {
+                const int socket = rawConnect(address);
+                rawWrite(socket, bytes);
+                std::string answer = rawReadMessage(socket);
+                close(socket);
+                return answer;
+            });
+        }
+
+        EventLoop m_loop;
+        Address m_address;
+        std::unique_ptr<HttpServer> m_server;
+        std::vector<HttpRequest> m_requests;
+        std::vector<std::shared_ptr<HttpResponder>> m_held;
+        bool m_holds { false };
+        bool m_drops { false };
+    };
+
+    // Guards against a malformed request that reaches the handler or hangs the connection.
+    TEST_F(HttpServerTest, server_malformedRequest_isRefused)
+    {
+        EXPECT_THAT(answerTo("nonsense\r\n\r\n"), testing::StartsWith("HTTP/1.1 400"));
+        EXPECT_THAT(answerTo("GET /a HTTP/1.1\r\nno colon\r\n\r\n"), testing::StartsWith("HTTP/1.1 400"));
+        EXPECT_THAT(answerTo("POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), testing::StartsWith("HTTP/1.1 400"));
+        EXPECT_TRUE(m_requests.empty());
+    }
+
+    // Guards against bodies that exhaust memory or the frame limit.
+    TEST_F(HttpServerTest, server_bodyOverLimit_is413)
+    {
+        EXPECT_THAT(answerTo("POST /a HTTP/1.1\r\nContent-Length: 1048577\r\n\r\n" + std::string(1048577, 'a')),
+            testing::StartsWith("HTTP/1.1 413"));
+        EXPECT_THAT(answerTo("POST /a HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n" + std::string(1048576, 'a')),
+            testing::StartsWith("HTTP/1.1 200"));
+        EXPECT_EQ(m_requests.size(), 1);
+    }
+
+    // Guards against a body after HEAD, which the caller would take for the next answer.
+    TEST_F(HttpServerTest, server_head_sendsNoBody)
+    {
+        const std::string answers = answerTo("HEAD /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+        EXPECT_EQ(answers.find("answer to /a"), std::string::npos) << answers;
+    }
+
+    // Guards against a reply on a connection that the caller has left.
+    TEST_F(HttpServerTest, server_callerGone_isToldAndReplyDropped)
+    {
+        m_holds = true;
+        bool gone = false;
+        runWith([address = m_address] {
+            const int socket = rawConnect(address);
+            rawWrite(socket, "GET /a HTTP/1.1\r\n\r\n");
+            usleep(30'000);
+            return close(socket);
+        });
+        ASSERT_EQ(m_held.size(), 1);
+        m_held[0]->onGone([&] { gone = true; });
+        runWith([] { return usleep(50'000); });
+        EXPECT_TRUE(gone || m_held[0]->isGone());
+        m_held[0]->reply({ 200, {}, "late" });
+        m_held.clear();
+    }
+
+    // Guards against a caller left without an answer when its request is dropped by mistake.
+    TEST_F(HttpServerTest, server_droppedRequest_is500)
+    {
+        m_drops = true;
+        EXPECT_THAT(answerTo("GET /a HTTP/1.1\r\n\r\n"), testing::StartsWith("HTTP/1.1 500"));
+    }
+
+    // Guards against use of freed memory when the server goes before the responders.
+    TEST_F(HttpServerTest, server_destroyedWithRequests_laterRepliesAreDropped)
+    {
+        m_holds = true;
+        HttpClient client(m_loop, m_address, 3);
+        int ended = 0;
+        for (int i = 0; i < 3; ++i)
+            client.send({ "GET", "/a", {}, {} }, Duration { 500 },
+                [&](const HttpExchange& exchange) { ended += exchange.status == HttpExchange::Status::Unknown; });
+        runWith([] { return usleep(50'000); });
+        ASSERT_EQ(m_held.size(), 3);
+        m_held[0]->reply({ 200, {}, "first" });
+        m_server.reset();
+        m_held[1]->reply({ 200, {}, "late" });
+        m_held.clear();
+        runWith([] { return usleep(50'000); });
+        EXPECT_GE(ended, 2);
+    }
+
+    // Guards against answers mixed up between requests on many connections.
+    TEST_F(HttpServerTest, server_manyAtOnce_eachGetsItsOwnAnswer)
+    {
+        HttpClient client(m_loop, m_address, 16);
+        int right = 0;
+        constexpr int total = 500;
+        for (int i = 0; i < total; ++i) {
+            const std::string path = "/" + std::to_string(i);
+            client.send({ "GET", path, {}, {} }, Duration { 5000 }, [&right, path](const HttpExchange& exchange) {
+                right += exchange.response.body == "answer to " + path;
+            });
+        }
+        runWith([] { return usleep(300'000); });
+        EXPECT_EQ(right, total);
+    }
+
+} // namespace
+} // namespace hemlocklead
