--- a/src/command/Placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-namespace hemlocklead {
-}
