--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "protocol/Codec.h"
+#include "transport/Traffic.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -74,7 +75,7 @@
         LogEvent(LogLevel::Error, "frame_too_large").field("bytes", static_cast<uint64_t>(frame.size()));
         return;
     }
-    m_bytesSent += frame.size();
+    Traffic::instance().sent(message, frame.size());
     bufferevent_write(m_native, frame.data(), frame.size());
     if (evbuffer_get_length(bufferevent_get_output(m_native)) > maxPendingBytes)
         m_closeTimer.startOnce(Duration { 0 }, [this] { close(); });
@@ -109,7 +110,6 @@
     evbuffer_drain(input, frameHeaderBytes);
     std::string payload(length, '\0');
     evbuffer_remove(input, payload.data(), length);
-    m_bytesReceived += frameHeaderBytes + length;
 
     Message message;
     const ErrorKind verdict = orElse(
@@ -125,6 +125,8 @@
         close();
         return false;
     }
+    if (verdict == ErrorKind::Internal)
+        Traffic::instance().received(message, frameHeaderBytes + length);
     if (verdict == ErrorKind::Internal && m_callbacks.onMessage)
         m_callbacks.onMessage(std::move(message));
     return true;
--- a/src/transport/FrameConnection.h
+++ b/src/transport/FrameConnection.h
@@ -41,10 +41,6 @@
 
     bool isOpen() const { return m_native != nullptr; }
 
-    /// Bytes sent and received so far, frames included.
-    uint64_t bytesSent() const { return m_bytesSent; }
-    uint64_t bytesReceived() const { return m_bytesReceived; }
-
 private:
     void initialize(EventLoop& loop, int socket);
     void readFrames();
@@ -57,8 +53,6 @@
     Timer m_closeTimer;
     Callbacks m_callbacks;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
-    uint64_t m_bytesSent { 0 };
-    uint64_t m_bytesReceived { 0 };
 };
 
 } // namespace hemlocklead
