--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -12,6 +12,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <optional>
+
 namespace hemlocklead {
 
 namespace {
@@ -111,23 +113,32 @@
     std::string payload(length, '\0');
     evbuffer_remove(input, payload.data(), length);
 
+    return deliver(payload);
+}
+
+bool FrameConnection::deliver(std::string_view payload)
+{
     Message message;
-    const ErrorKind verdict = orElse(
-        [&]() -> Result<ErrorKind> {
+    const std::optional<ErrorKind> failure = orElse(
+        [&]() -> Result<std::optional<ErrorKind>> {
             BOOST_LEAF_ASSIGN(message, decodePayload(payload));
-            return ErrorKind::Internal; // stands for "no error"
+            return std::optional<ErrorKind>();
         },
         [](const Error& error) {
             LogEvent(LogLevel::Warning, "frame_rejected").field("reason", error.message);
-            return error.kind;
+            return std::optional(error.kind);
         });
-    if (verdict == ErrorKind::Protocol) {
+    if (failure == ErrorKind::NotFound) {
+        // A type of a newer version.
+        Traffic::instance().receivedUnknown();
+        return true;
+    }
+    if (failure) {
         close();
         return false;
     }
-    if (verdict == ErrorKind::Internal)
-        Traffic::instance().received(message, frameHeaderBytes + length);
-    if (verdict == ErrorKind::Internal && m_callbacks.onMessage)
+    Traffic::instance().received(message, frameHeaderBytes + payload.size());
+    if (m_callbacks.onMessage)
         m_callbacks.onMessage(std::move(message));
     return true;
 }
--- a/src/transport/FrameConnection.h
+++ b/src/transport/FrameConnection.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 struct bufferevent;
 
@@ -45,6 +46,7 @@
     void initialize(EventLoop& loop, int socket);
     void readFrames();
     bool readFrame();
+    bool deliver(std::string_view payload);
     void close();
     static void onRead(bufferevent*, void* self);
     static void onEvent(bufferevent*, short what, void* self);
--- a/src/transport/Traffic.cpp
+++ b/src/transport/Traffic.cpp
@@ -38,6 +38,7 @@
     counters.set("frame_bytes_received{kind=\"call\"}", m_callsReceived);
     counters.set("frames_sent", m_framesSent);
     counters.set("frames_received", m_framesReceived);
+    counters.set("frames_unknown", m_framesUnknown);
 }
 
 } // namespace hemlocklead
--- a/src/transport/Traffic.h
+++ b/src/transport/Traffic.h
@@ -17,6 +17,9 @@
     void sent(const Message& message, size_t bytes);
     void received(const Message& message, size_t bytes);
 
+    /// Notes a frame of a type that this version does not know.
+    void receivedUnknown() { ++m_framesUnknown; }
+
     /// Copies the totals into gauges for `/metrics`.
     void publish(Counters& counters) const;
 
@@ -27,6 +30,7 @@
     int64_t m_callsReceived { 0 };
     int64_t m_framesSent { 0 };
     int64_t m_framesReceived { 0 };
+    int64_t m_framesUnknown { 0 };
 };
 
 } // namespace hemlocklead
