--- a/src/coordination/LogStreamCore.h
+++ b/src/coordination/LogStreamCore.h
@@ -90,6 +90,7 @@
     void noSnapshotLeft();
     bool load(const Json& snapshot, std::string_view origin);
     void gapFound(uint64_t first);
+    void searchFailed(uint64_t first);
     void foldPage(const LogPage& page);
     void pageFolded(const StreamRead& read, uint64_t end);
     void tailReached(const StreamRead& read);
@@ -123,6 +124,8 @@
     Source m_source { Source::SnapshotEnd };
     std::optional<uint64_t> m_candidate; ///< Offset of the snapshot tried last, or to be tried next.
     bool m_snapshotsTried { false }; ///< No snapshot is left that might bridge trimmed records.
+    uint64_t m_snapshotsEnd { 0 }; ///< End of the snapshot stream when the search began.
+    std::optional<uint64_t> m_searchedEnd; ///< The same of the last search that found none.
     bool m_reading { false };
     uint64_t m_reads { 0 }; ///< Reads of the stream sent so far.
     size_t m_readLimit;
--- a/src/coordination/LogStreamRead.cpp
+++ b/src/coordination/LogStreamRead.cpp
@@ -87,6 +87,8 @@
     // A peer's state was adopted in the meantime.
     if (m_source == Source::Stream)
         return;
+    if (m_source == Source::SnapshotEnd)
+        m_snapshotsEnd = page->end;
     if (page->first >= page->end || (m_candidate && *m_candidate < page->first)) {
         noSnapshotLeft();
         return;
@@ -134,6 +136,7 @@
     }
     m_snapshotsTried = false;
     m_candidate.reset();
+    m_searchedEnd.reset();
     m_stateLost = false;
     foldPage(*page);
     pageFolded(read, page->end);
@@ -144,22 +147,34 @@
 {
     m_caughtUp = false;
     if (m_snapshotsTried) {
-        if (!m_stateLost)
-            LogEvent(LogLevel::Error, "state_lost")
-                .field("stream", m_settings.name)
-                .field("next_offset", m_fold.nextOffset())
-                .field("first_retained", first);
-        m_stateLost = true;
-        m_snapshotsTried = false;
-        m_nextReadAt = m_clock.now() + stateLostRetry;
+        searchFailed(first);
+    } else if (m_candidate && *m_candidate > 0) {
+        m_source = Source::Snapshot;
+        --*m_candidate;
+    } else {
         m_source = Source::SnapshotEnd;
+        m_candidate.reset();
+    }
+}
+
+/// Snapshots may be written and trimmed during a search, so the state counts as lost only when a second search finds
+/// the snapshot stream with the same end.
+void LogStream::Core::searchFailed(uint64_t first)
+{
+    m_source = Source::SnapshotEnd;
+    m_snapshotsTried = false;
+    if (m_searchedEnd != m_snapshotsEnd) {
+        m_searchedEnd = m_snapshotsEnd;
         return;
     }
-    m_source = m_candidate && *m_candidate > 0 ? Source::Snapshot : Source::SnapshotEnd;
-    if (m_source == Source::Snapshot)
-        --*m_candidate;
-    else
-        m_candidate.reset();
+    if (!m_stateLost) {
+        LogEvent(LogLevel::Error, "state_lost")
+            .field("stream", m_settings.name)
+            .field("next_offset", m_fold.nextOffset())
+            .field("first_retained", first);
+    }
+    m_stateLost = true;
+    m_nextReadAt = m_clock.now() + stateLostRetry;
 }
 
 void LogStream::Core::foldPage(const LogPage& page)
