--- a/src/protocol/Messages.h
+++ b/src/protocol/Messages.h
@@ -191,6 +191,7 @@
     int status { 0 };
     std::vector<HeaderField> headers;
     std::string body;
+    uint64_t bodyBytes { 0 }; ///< Length of `body`.
     uint64_t bodyHash { 0 }; ///< XXH3-64 of `body`.
     Duration atTarget { 0 }; ///< Time the target took.
     int64_t busy { 0 }; ///< Slots in use at the agent, for routing.
@@ -228,6 +229,7 @@
 struct StateReply {
     uint64_t sequence { 0 };
     bool serving { false };
+    uint64_t offset { 0 }; ///< Next control offset of `state`.
     std::string state; ///< ControlState as JSON text.
 };
 
