--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -116,10 +116,11 @@
 };
 
 struct HttpClient::Core : std::enable_shared_from_this<HttpClient::Core> {
-    Core(EventLoop& eventLoop, Address target, size_t most)
+    Core(EventLoop& eventLoop, Address target, size_t most, size_t mostBytes)
         : loop(eventLoop)
         , address(std::move(target))
         , maxConnections(most)
+        , maxResponseBytes(mostBytes)
         , retireTimer(eventLoop)
     {
     }
@@ -139,6 +140,7 @@
     EventLoop& loop;
     Address address;
     size_t maxConnections;
+    size_t maxResponseBytes;
     bool closed { false };
     int callbackDepth { 0 };
     std::vector<evhttp_connection*> idle;
@@ -234,7 +236,7 @@
     }
     evhttp_connection* connection
         = evhttp_connection_base_new(loop.native(), nullptr, address.ip.c_str(), address.port);
-    evhttp_connection_set_max_body_size(connection, maxBodyBytes);
+    evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(maxResponseBytes));
     evhttp_connection_set_max_headers_size(connection, maxHeaderBytes);
     evhttp_connection_set_retries(connection, 0);
     evhttp_connection_set_timeout(connection, nativeTimeoutSeconds);
@@ -298,9 +300,9 @@
     owned->callback({ HttpExchange::Status::NotSent, {} });
 }
 
-HttpClient::HttpClient(EventLoop& loop, Address address, size_t maxConnections)
+HttpClient::HttpClient(EventLoop& loop, Address address, size_t maxConnections, size_t maxResponseBytes)
     : m_address(std::move(address))
-    , m_core(std::make_shared<Core>(loop, m_address, maxConnections))
+    , m_core(std::make_shared<Core>(loop, m_address, maxConnections, maxResponseBytes))
 {
 }
 
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -29,8 +29,9 @@
 public:
     using Callback = std::function<void(HttpExchange)>;
 
-    /// At most `maxConnections` exchanges run at once; others wait their turn within their timeout.
-    HttpClient(EventLoop& loop, Address address, size_t maxConnections);
+    /// At most `maxConnections` exchanges run at once; others wait their turn within their timeout. A response with a
+    /// body over `maxResponseBytes` ends its exchange as `Unknown`.
+    HttpClient(EventLoop& loop, Address address, size_t maxConnections, size_t maxResponseBytes = maxBodyBytes);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -146,11 +146,11 @@
     responder->callerGone();
 }
 
-HttpServer::HttpServer(EventLoop& loop, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, Handler handler, size_t maxRequestBytes)
     : m_native(evhttp_new(loop.native()))
     , m_handler(std::move(handler))
 {
-    evhttp_set_max_body_size(m_native, maxBodyBytes);
+    evhttp_set_max_body_size(m_native, static_cast<ev_ssize_t>(maxRequestBytes));
     evhttp_set_max_headers_size(m_native, maxHeaderBytes);
     evhttp_set_allowed_methods(m_native,
         EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -49,12 +49,12 @@
     std::function<void()> m_onGone;
 };
 
-/// HTTP server on evhttp. Bodies over `maxBodyBytes` get 413, malformed requests 400.
+/// HTTP server on evhttp. Bodies over `maxRequestBytes` get 413, malformed requests 400.
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
-    HttpServer(EventLoop& loop, Handler handler);
+    HttpServer(EventLoop& loop, Handler handler, size_t maxRequestBytes = maxBodyBytes);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
