Add the agent process and tests of the task rules

Cause: the task side had no process around it, and its rules about lost answers, restarts and leases had no tests. Change: AgentProcess connects links, tasks, calls, worker and HTTP server, and stops in the order of design section 9. Tests drive TaskAgent against a worker on a simulated clock.

--- /dev/null
+++ b/src/agent/AgentProcess.cpp
@@ -0,0 +1,141 @@
+#include "agent/AgentProcess.h"
+
+#include "agent/CallService.h"
+#include "agent/TaskService.h"
+#include "base/Log.h"
+#include "transport/WorkerHttpClient.h"
+
+#include <cstdio>
+
+namespace hemlocklead {
+
+namespace {
+
+    /// Time for the last messages to leave the process after the drain.
+    constexpr Duration flushTime { 100 };
+
+    /// Applies the configuration that entries send and tells them how far it has come.
+    class ControlHandler final : public EntryHandler {
+    public:
+        explicit ControlHandler(AgentControl& control)
+            : m_control(control)
+        {
+        }
+
+        void fillKeepalive(size_t, Keepalive& keepalive) override
+        {
+            keepalive.controlOffset = m_control.state().nextOffset();
+        }
+
+        void entryMessage(size_t, const Message& message) override
+        {
+            if (const auto* reply = std::get_if<KeepaliveReply>(&message))
+                m_control.apply(reply->delta);
+        }
+
+        void entryGone(size_t) override { }
+
+    private:
+        AgentControl& m_control;
+    };
+
+    /// The parts of an agent process.
+    class AgentProcess {
+    public:
+        explicit AgentProcess(AgentSettings settings)
+            : m_settings(std::move(settings))
+            , m_links(m_loop, m_clock, m_settings, m_counters)
+            , m_controlHandler(m_control)
+            , m_worker(m_loop, m_settings.workerAddress)
+            , m_tasks(m_loop, m_clock, m_settings, m_control, m_links, m_worker, m_counters)
+            , m_calls(m_loop, m_clock, m_settings, m_control, m_links, m_counters,
+                  [this](const std::string& service, int64_t latencyUs) { m_tasks.noteLatency(service, latencyUs); })
+            , m_server(m_loop, [this](const HttpRequest& request, const auto& out) { out->reply(handle(request)); })
+            , m_flushTimer(m_loop)
+        {
+        }
+
+        Result<int> run()
+        {
+            BOOST_LEAF_CHECK(m_server.listen(m_settings.httpAddress));
+            // The control handler comes first, so that the others see the configuration of the same message.
+            m_links.addHandler(m_controlHandler);
+            m_links.addHandler(m_tasks);
+            m_links.addHandler(m_calls);
+            m_tasks.start();
+            m_links.start();
+            m_loop.onTerminate([this] { leave(); });
+            LogEvent(LogLevel::Info, "agent_started")
+                .field("host", m_settings.host)
+                .field("incarnation", m_links.incarnation());
+            m_loop.run();
+            return 0;
+        }
+
+    private:
+        HttpResponse handle(const HttpRequest& request)
+        {
+            const std::vector<std::string> path = pathSegments(request.path);
+            const std::string_view first = path.empty() ? std::string_view() : std::string_view(path[0]);
+            if (first == "targets")
+                return m_calls.handleAnnouncement(request);
+            if (first == "metrics")
+                return { 200, { { "Content-Type", "text/plain" } }, m_counters.text() };
+            if (first == "health")
+                return jsonResponse(m_leaving ? 503 : 200, m_leaving ? R"({"leaving": true})" : "{}");
+            return errorResponse({ ErrorKind::NotFound, "no such path" });
+        }
+
+        /// Planned stop (design section 9): announce it, finish calls, checkpoint and stop tasks, report, exit.
+        void leave()
+        {
+            if (m_leaving)
+                return;
+            m_leaving = true;
+            LogEvent(LogLevel::Info, "agent_leaving").field("host", m_settings.host);
+            m_links.sendToAll(Leaving { m_settings.host });
+            m_draining = 2;
+            m_calls.drain(m_settings.drain, [this] { drained(); });
+            m_tasks.drain(m_settings.drain, [this] { drained(); });
+        }
+
+        void drained()
+        {
+            if (--m_draining > 0)
+                return;
+            m_flushTimer.startOnce(flushTime, [this] { m_loop.stop(); });
+        }
+
+        AgentSettings m_settings;
+        EventLoop m_loop;
+        SystemClock m_clock;
+        Counters m_counters;
+        AgentControl m_control;
+        EntryLinks m_links;
+        ControlHandler m_controlHandler;
+        WorkerHttpClient m_worker;
+        TaskService m_tasks;
+        CallService m_calls;
+        HttpServer m_server;
+        Timer m_flushTimer;
+        int m_draining { 0 }; ///< Services that have not drained yet.
+        bool m_leaving { false };
+    };
+
+} // namespace
+
+int runAgent(const std::string& settingsFile)
+{
+    configureLog("agent", LogLevel::Info);
+    return orElse(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(settings, parseAgentSettings(settingsFile));
+            return AgentProcess(std::move(settings)).run();
+        },
+        [](const Error& error) {
+            std::fprintf(stderr, "hemlocklead agent: %s\n", error.message.c_str());
+            return 2;
+        });
+}
+
+} // namespace hemlocklead
--- a/src/coordination/AttemptRunner.cpp
+++ b/src/coordination/AttemptRunner.cpp
@@ -192,10 +192,10 @@
 
 void AttemptRunner::tickStopping(HeldAttempt& attempt)
 {
-    const Duration waited = m_clock.now() - attempt.worker.stopStepAt;
-    if (attempt.worker.stop == StopStep::ReadToken && waited >= readTokenTimeout)
-        enterStop(attempt, StopStep::Delete);
-    else if (attempt.worker.stop == StopStep::Delete && waited >= retryInterval)
+    if (attempt.worker.stop == StopStep::Checkpoint)
+        return;
+    const Duration patience = attempt.worker.stop == StopStep::ReadToken ? readTokenTimeout : retryInterval;
+    if (m_clock.now() - attempt.worker.stopStepAt >= patience)
         enterStop(attempt, StopStep::Delete);
 }
 
--- a/src/coordination/TaskAgent.cpp
+++ b/src/coordination/TaskAgent.cpp
@@ -51,6 +51,7 @@
             m_send({}, endedMessage(*attempt));
     }
     m_table.forget(now);
+    m_counters.set("attempts_held", static_cast<int64_t>(m_table.attempts().size()));
     if (m_leaving)
         stopAll();
     else if (m_settings.throttling)
--- a/tests/unit/TaskAgentTest.cpp
+++ b/tests/unit/TaskAgentTest.cpp
@@ -117,5 +117,168 @@
         EXPECT_TRUE(keepalive().attempts.empty());
     }
 
+    // Guards against a start call without answer that is taken for a failure while the task runs.
+    TEST_F(TaskAgentTest, start_answerLost_isDecidedByList)
+    {
+        m_worker.trouble.lostAnswers = 100;
+        reserve(m_key);
+        start(m_key);
+        run(Duration { 1200 });
+        EXPECT_EQ(keepalive().free, (Resources { 1000, 512, 0 }));
+        EXPECT_TRUE(sent<StartReply>().empty());
+        m_worker.trouble.lostAnswers = 0;
+        run(Duration { 1500 });
+        ASSERT_EQ(sent<StartReply>().size(), 1U);
+        EXPECT_TRUE(sent<StartReply>().back().started);
+    }
+
+    // Guards against "not started" while a start call may still take effect.
+    TEST_F(TaskAgentTest, start_requestLost_isRefusedOnlyAfterWorkerLease)
+    {
+        m_worker.trouble.lostRequests = 100;
+        reserve(m_key);
+        start(m_key);
+        run(Duration { 1000 });
+        m_worker.trouble.lostRequests = 0;
+        run(Duration { 5900 });
+        EXPECT_TRUE(sent<StartReply>().empty());
+        EXPECT_EQ(keepalive().free, (Resources { 1000, 512, 0 }));
+        run(Duration { 1000 });
+        ASSERT_EQ(sent<StartReply>().size(), 1U);
+        EXPECT_FALSE(sent<StartReply>().back().started);
+        EXPECT_EQ(keepalive().free, keepalive().capacity);
+    }
+
+    // Guards against a refusal of the worker that keeps its amount reserved or goes unreported.
+    TEST_F(TaskAgentTest, start_workerRejects_isRefusedAndFreed)
+    {
+        m_worker.rejects = true;
+        reserve(m_key);
+        start(m_key);
+        run(Duration { 300 });
+        EXPECT_FALSE(sent<StartReply>().back().started);
+        expectEnd(EndReason::Refused);
+        EXPECT_EQ(keepalive().free, keepalive().capacity);
+        EXPECT_TRUE(keepalive().attempts.empty());
+    }
+
+    // Guards against an eviction that loses the work since the last periodic checkpoint.
+    TEST_F(TaskAgentTest, stop_withCheckpoint_reportsItsToken)
+    {
+        startRunning();
+        run(Duration { 3000 });
+        m_agent->entryMessage(0, Stop { 0, 1, m_key, EndReason::Evicted, true });
+        run(Duration { 1000 });
+        expectEnd(EndReason::Evicted);
+        EXPECT_GT(std::stoll(sent<AttemptEnded>().back().token), 3000);
+        EXPECT_EQ(sent<Checkpointed>().back().token, sent<AttemptEnded>().back().token);
+    }
+
+    // Guards against a Start that arrives after the end of its attempt was confirmed, and runs it.
+    TEST_F(TaskAgentTest, stop_beforeStart_isConfirmedAndFinal)
+    {
+        run(Duration { 7000 });
+        reserve(m_key);
+        m_agent->entryMessage(0, Stop { 0, 1, m_key, EndReason::Cancelled, false });
+        run(Duration { 200 });
+        expectEnd(EndReason::Cancelled);
+        start(m_key);
+        run(Duration { 1000 });
+        EXPECT_EQ(m_worker.starts, 0);
+    }
+
+    // Guards against a task that runs on, or loses its work, when its owner falls silent.
+    TEST_F(TaskAgentTest, lease_notRenewed_checkpointsAndStopsBeforeItsEnd)
+    {
+        m_worker.runTime = Duration { 100'000 };
+        startRunning();
+        run(attemptLease - Duration { 500 });
+        expectEnd(EndReason::Lost);
+        EXPECT_GT(std::stoll(sent<AttemptEnded>().back().token), 17'000);
+        EXPECT_EQ(m_counters.value("attempts_lapsed"), 1);
+    }
+
+    // Guards against a task that ends though its owner renews, and against work of more than 30 s at risk.
+    TEST_F(TaskAgentTest, lease_renewed_runsOnWithCheckpoints)
+    {
+        m_worker.runTime = Duration { 100'000 };
+        startRunning();
+        for (int i = 0; i < 14; ++i) {
+            run(Duration { 5000 });
+            renew();
+        }
+        EXPECT_EQ(m_worker.running().size(), 1U);
+        EXPECT_EQ(sent<Checkpointed>().size(), 2U);
+    }
+
+    // Guards against a double commitment after a restart, and against keeping a task alive that no owner vouches for.
+    TEST_F(TaskAgentTest, restart_withRunningTask_holdsItUntilItExpires)
+    {
+        m_worker.runTime = Duration { 100'000 };
+        startRunning();
+        restartAgent();
+        reserve({ "other", 0, 1 });
+        EXPECT_EQ(sent<ReserveReply>().back().refusal, "not-ready");
+        run(Duration { 500 });
+        reserve({ "other", 0, 1 });
+        EXPECT_EQ(sent<ReserveReply>().back().refusal, "no-capacity");
+        EXPECT_EQ(keepalive().attempts.size(), 1U);
+        EXPECT_FALSE(keepalive().settled);
+        run(Duration { 7000 });
+        expectEnd(EndReason::Lost);
+        EXPECT_TRUE(keepalive().settled);
+        EXPECT_EQ(keepalive().free, keepalive().capacity);
+    }
+
+    // Guards against losing a running task at a restart though its owner renews it.
+    TEST_F(TaskAgentTest, restart_thenRenew_keepsTaskRunning)
+    {
+        m_worker.runTime = Duration { 100'000 };
+        startRunning();
+        restartAgent();
+        run(Duration { 1000 });
+        renew();
+        run(Duration { 15'000 });
+        EXPECT_EQ(m_worker.running().size(), 1U);
+        EXPECT_EQ(keepalive().attempts.front().spec.name, "compile");
+    }
+
+    // Guards against "not started" from a process that cannot know what the former one did.
+    TEST_F(TaskAgentTest, start_unknownBeforeSettled_isNotAnswered)
+    {
+        restartAgent();
+        run(Duration { 500 });
+        start(m_key);
+        run(Duration { 500 });
+        EXPECT_TRUE(sent<StartReply>().empty());
+        run(Duration { 7000 });
+        start(m_key);
+        EXPECT_EQ(sent<StartReply>().back().refusal, "no-capacity");
+    }
+
+    // Guards against orders of an entry that has lost the shard.
+    TEST_F(TaskAgentTest, stop_ofStaleEpoch_isIgnored)
+    {
+        startRunning();
+        m_agent->entryMessage(0, Renew { 0, 2, { m_key }, stamp(), attemptLease });
+        m_agent->entryMessage(1, Stop { 0, 1, m_key, EndReason::Evicted, true });
+        run(Duration { 1000 });
+        EXPECT_EQ(m_worker.running().size(), 1U);
+    }
+
+    // Guards against a planned stop that loses work or leaves before its ends are recorded.
+    TEST_F(TaskAgentTest, drain_runningTask_isCheckpointedAndReported)
+    {
+        startRunning();
+        m_agent->drain();
+        reserve({ "other", 0, 1 });
+        EXPECT_EQ(sent<ReserveReply>().back().refusal, "leaving");
+        run(Duration { 1000 });
+        expectEnd(EndReason::Evicted);
+        EXPECT_FALSE(m_agent->isDrained());
+        m_agent->entryMessage(0, AttemptEndedAck { m_key });
+        EXPECT_TRUE(m_agent->isDrained());
+    }
+
 } // namespace
 } // namespace hemlocklead
