Grant nothing until start calls of a former process are over

Cause: random schedules found hosts committed beyond their capacity. After a restart the agent granted reservations once it had read the worker's list, while a start call of the former process was still on its way to the worker. Change: the ledger grants from the same moment on at which the agent is settled, the worker lease after the rebuild. Entries get a keepalive at that moment. Conclusion: an agent that restarts takes no new work for about 6 s, which the invariant on capacity needs.

--- a/src/agent/TaskService.cpp
+++ b/src/agent/TaskService.cpp
@@ -47,6 +47,10 @@
     void tick()
     {
         m_agent.tick();
+        if (m_agent.isSettled() && !m_settledTold) {
+            m_settledTold = true;
+            m_links.keepaliveNow();
+        }
         if (!m_drained || (!m_agent.isDrained() && m_clock.now() < m_drainEnd))
             return;
         const std::function<void()> done = std::move(m_drained);
@@ -66,6 +70,7 @@
     EntryLinks& m_links;
     TaskAgent m_agent;
     Timer m_tick;
+    bool m_settledTold { false }; ///< Entries were told that reservations are granted.
     Instant m_drainEnd;
     std::function<void()> m_drained; ///< Set while draining.
 };
--- a/src/coordination/ReservationLedger.cpp
+++ b/src/coordination/ReservationLedger.cpp
@@ -9,12 +9,6 @@
 {
 }
 
-void ReservationLedger::setCapacity(const Resources& capacity)
-{
-    m_capacity = capacity;
-    m_ready = true;
-}
-
 std::optional<ErrorKind> ReservationLedger::reserve(const std::string& id, const Resources& amount, Instant now)
 {
     if (!m_ready)
--- a/src/coordination/ReservationLedger.h
+++ b/src/coordination/ReservationLedger.h
@@ -18,9 +18,12 @@
 public:
     explicit ReservationLedger(Duration reservationTtl);
 
-    /// Takes over the worker's capacity. From the first call on the ledger grants reservations, so what runs on the
-    /// worker must have been added with `hold` before.
-    void setCapacity(const Resources& capacity);
+    /// Takes over the worker's capacity.
+    void setCapacity(const Resources& capacity) { m_capacity = capacity; }
+
+    /// Lets the ledger grant reservations. All that runs on the worker, or may still start there by a call of a former
+    /// process, must have been added with `hold` before.
+    void setReady() { m_ready = true; }
 
     bool isReady() const { return m_ready; }
 
--- a/src/coordination/TaskAgent.h
+++ b/src/coordination/TaskAgent.h
@@ -38,6 +38,10 @@
     void entryGone(size_t entry);
 
     void fillKeepalive(size_t entry, Keepalive& keepalive);
+
+    /// Whether reservations are granted.
+    bool isSettled() const { return m_monitor.isSettled(); }
+
     void noteLatency(const std::string& service, int64_t latencyUs);
 
     /// Checkpoints and stops all tasks, and accepts no new ones.
--- a/src/coordination/WorkerMonitor.cpp
+++ b/src/coordination/WorkerMonitor.cpp
@@ -158,8 +158,8 @@
         m_rebuiltAt = m_clock.now();
         LogEvent(LogLevel::Info, "ledger_rebuilt").field("tasks", static_cast<uint64_t>(m_listed.size()));
     }
-    if (!m_settled && listedAt >= *m_rebuiltAt + m_settings.workerLease)
-        m_settled = true;
+    if (listedAt >= *m_rebuiltAt + m_settings.workerLease)
+        m_ledger.setReady();
 }
 
 std::vector<TaskLoad> WorkerMonitor::loads() const
--- a/src/coordination/WorkerMonitor.h
+++ b/src/coordination/WorkerMonitor.h
@@ -28,8 +28,9 @@
     void pollSoon() { m_pollSoon = true; }
 
     /// Whether the worker's list was read once the worker lease had passed since the rebuild. A start call of a former
-    /// process on this host can have no effect from then on.
-    bool isSettled() const { return m_settled; }
+    /// process on this host can have no effect from then on. The ledger grants nothing before: such a call would
+    /// commit the host beyond its capacity.
+    bool isSettled() const { return m_ledger.isReady(); }
 
     /// Running tasks with the usage of the last list.
     std::vector<TaskLoad> loads() const;
@@ -57,7 +58,6 @@
     std::optional<Resources> m_capacity;
     Instant m_capacityAt;
     std::optional<Instant> m_rebuiltAt;
-    bool m_settled { false };
     std::set<std::string> m_listed; ///< Ids of the last list.
     std::set<std::string> m_foreign; ///< Ids held in the ledger for tasks that are no live attempts.
     std::map<std::string, int64_t> m_cpuMilli; ///< Usage by task id.
--- a/tests/unit/ReservationLedgerTest.cpp
+++ b/tests/unit/ReservationLedgerTest.cpp
@@ -17,7 +17,11 @@
             return m_ledger.reserve(id, amount, m_clock.now());
         }
 
-        void makeReady() { m_ledger.setCapacity({ 4000, 1024, 1 }); }
+        void makeReady()
+        {
+            m_ledger.setCapacity({ 4000, 1024, 1 });
+            m_ledger.setReady();
+        }
     };
 
     // Guards against grants on top of tasks that a restarted agent has not seen yet.
--- a/tests/unit/TaskAgentTest.cpp
+++ b/tests/unit/TaskAgentTest.cpp
@@ -22,7 +22,7 @@
         void SetUp() override
         {
             restartAgent();
-            run(Duration { 100 });
+            run(Duration { 7000 });
         }
 
         void restartAgent()
@@ -177,7 +177,6 @@
     // Guards against a Start that arrives after the end of its attempt was confirmed, and runs it.
     TEST_F(TaskAgentTest, stop_beforeStart_isConfirmedAndFinal)
     {
-        run(Duration { 7000 });
         reserve(m_key);
         m_agent->entryMessage(0, Stop { 0, 1, m_key, EndReason::Cancelled, false });
         run(Duration { 200 });
@@ -221,8 +220,9 @@
         EXPECT_EQ(sent<ReserveReply>().back().refusal, "not-ready");
         run(Duration { 500 });
         reserve({ "other", 0, 1 });
-        EXPECT_EQ(sent<ReserveReply>().back().refusal, "no-capacity");
+        EXPECT_EQ(sent<ReserveReply>().back().refusal, "not-ready");
         EXPECT_EQ(keepalive().attempts.size(), 1U);
+        EXPECT_EQ(keepalive().free, (Resources { 1000, 512, 0 }));
         EXPECT_FALSE(keepalive().settled);
         run(Duration { 7000 });
         expectEnd(EndReason::Lost);
@@ -240,6 +240,8 @@
         renew();
         run(Duration { 15'000 });
         EXPECT_EQ(m_worker.running().size(), 1U);
+        reserve({ "other", 0, 1 });
+        EXPECT_EQ(sent<ReserveReply>().back().refusal, "no-capacity");
         EXPECT_EQ(keepalive().attempts.front().spec.name, "compile");
     }
 
