--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "protocol/Codec.h"
+#include "transport/Traffic.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,6 +12,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <optional>
+
 namespace hemlocklead {
 
 namespace {
@@ -74,7 +77,7 @@
         LogEvent(LogLevel::Error, "frame_too_large").field("bytes", static_cast<uint64_t>(frame.size()));
         return;
     }
-    m_bytesSent += frame.size();
+    Traffic::instance().sent(message, frame.size());
     bufferevent_write(m_native, frame.data(), frame.size());
     if (evbuffer_get_length(bufferevent_get_output(m_native)) > maxPendingBytes)
         m_closeTimer.startOnce(Duration { 0 }, [this] { close(); });
@@ -109,23 +112,33 @@
     evbuffer_drain(input, frameHeaderBytes);
     std::string payload(length, '\0');
     evbuffer_remove(input, payload.data(), length);
-    m_bytesReceived += frameHeaderBytes + length;
 
+    return deliver(payload);
+}
+
+bool FrameConnection::deliver(std::string_view payload)
+{
     Message message;
-    const ErrorKind verdict = orElse(
-        [&]() -> Result<ErrorKind> {
+    const std::optional<ErrorKind> failure = orElse(
+        [&]() -> Result<std::optional<ErrorKind>> {
             BOOST_LEAF_ASSIGN(message, decodePayload(payload));
-            return ErrorKind::Internal; // stands for "no error"
+            return std::optional<ErrorKind>();
         },
         [](const Error& error) {
             LogEvent(LogLevel::Warning, "frame_rejected").field("reason", error.message);
-            return error.kind;
+            return std::optional(error.kind);
         });
-    if (verdict == ErrorKind::Protocol) {
+    if (failure == ErrorKind::NotFound) {
+        // A type of a newer version.
+        Traffic::instance().receivedUnknown();
+        return true;
+    }
+    if (failure) {
         close();
         return false;
     }
-    if (verdict == ErrorKind::Internal && m_callbacks.onMessage)
+    Traffic::instance().received(message, frameHeaderBytes + payload.size());
+    if (m_callbacks.onMessage)
         m_callbacks.onMessage(std::move(message));
     return true;
 }
