--- a/src/agent/EntryLinks.cpp
+++ b/src/agent/EntryLinks.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
@@ -62,6 +63,7 @@
         Duration backoff { shortestBackoff };
         Instant keepaliveAt;
         Instant heardAt; ///< Last reply to a keepalive, or the time of connecting.
+        Instant homeSince; ///< Time of becoming the home entry; replies were due less often before.
         bool answered { false }; ///< A reply has arrived on this connection.
         bool fullSent { false };
         Instant avoidedUntil; ///< Not to be the home entry before.
@@ -76,6 +78,9 @@
     void chooseHome();
     void avoidAsHome(size_t entry, std::string_view reason);
     Duration interval(size_t entry) const;
+
+    /// Time without a reply, as far as one was due.
+    Duration silence(size_t entry) const;
     Duration jittered(Duration duration);
 
     EventLoop& m_loop;
@@ -130,7 +135,7 @@
             connect(entry);
         return;
     }
-    if (now - link.heardAt > interval(entry) * deadAfterIntervals) {
+    if (silence(entry) > interval(entry) * deadAfterIntervals) {
         m_counters.add("entry_links_silent");
         m_retired.push_back(std::move(link.connection));
         closed(entry);
@@ -200,7 +205,7 @@
 void EntryLinks::Core::chooseHome()
 {
     const Instant now = m_clock.now();
-    if (m_home && now - m_links[*m_home].heardAt > m_settings.homeKeepalive + oldestHomeView)
+    if (m_home && silence(*m_home) > m_settings.homeKeepalive + oldestHomeView)
         avoidAsHome(*m_home, "no reply");
     std::optional<size_t> best;
     const auto preference = [now](const Link& link) { return std::pair(now >= link.avoidedUntil, link.rank); };
@@ -211,6 +216,7 @@
     if (!best || best == m_home)
         return;
     m_home = best;
+    m_links[*best].homeSince = now;
     LogEvent(LogLevel::Info, "home_entry").field("entry", m_links[*best].address.text());
     sendKeepalive(*best);
 }
@@ -255,6 +261,12 @@
     return m_home == entry ? m_settings.homeKeepalive : m_settings.keepalive;
 }
 
+Duration EntryLinks::Core::silence(size_t entry) const
+{
+    const Link& link = m_links[entry];
+    return m_clock.now() - (m_home == entry ? std::max(link.heardAt, link.homeSince) : link.heardAt);
+}
+
 Duration EntryLinks::Core::jittered(Duration duration)
 {
     // Only downwards: the settings state the longest interval.
--- a/tests/unit/TaskAgentTest.cpp
+++ b/tests/unit/TaskAgentTest.cpp
@@ -1,4 +1,4 @@
-#include "TaskSimulation.h"
+#include "support/TaskSimulation.h"
 
 #include <gtest/gtest.h>
 
