--- a/src/entry/CallRouter.cpp
+++ b/src/entry/CallRouter.cpp
@@ -112,17 +112,22 @@
 void CallRouter::agentGone(const std::string& host)
 {
     std::vector<std::string> lost;
-    for (const auto& [id, serial] : m_tries) {
-        if (m_exchanges.at(serial)->tries().at(id).host == host)
-            lost.push_back(id);
+    for (const auto& [serial, exchange] : m_exchanges) {
+        for (const Exchange::Try& sent : exchange->tries()) {
+            if (sent.host == host)
+                lost.push_back(sent.id);
+        }
     }
     for (const auto& [service, known] : m_routes)
         known->chooser.remove(host);
     for (const std::string& id : lost) {
-        const uint64_t serial = m_tries.at(id);
-        m_tries.erase(id);
-        if (const auto ended = m_exchanges.at(serial)->takeTry(id))
-            tryUnknown(serial, *ended);
+        // An earlier one of the loop may have ended this exchange.
+        const auto found = m_tries.find(id);
+        if (found == m_tries.end())
+            continue;
+        const uint64_t serial = found->second;
+        m_tries.erase(found);
+        tryUnknown(serial, *m_exchanges.at(serial)->takeTry(id));
     }
 }
 
@@ -135,7 +140,7 @@
     }
     const uint64_t serial = found->second;
     Exchange& exchange = *m_exchanges.at(serial);
-    if (exchange.tries().at(reply.id).host != host) {
+    if (exchange.findTry(reply.id)->host != host) {
         m_counters.add("replies_crossed");
         return;
     }
@@ -257,7 +262,7 @@
         return;
     }
     chooser.sent(host);
-    exchange.tryStarted(call.id, { host, m_clock.preciseNow() });
+    exchange.tryStarted({ call.id, host, m_clock.preciseNow() });
     m_tries[call.id] = serial;
 }
 
--- a/src/entry/CallRouterTick.cpp
+++ b/src/entry/CallRouterTick.cpp
@@ -37,7 +37,7 @@
         return;
     Route& known = route(exchange.request().service);
     const auto delay = known.latency.hedgeDelay();
-    const std::chrono::microseconds waited = m_clock.preciseNow() - exchange.tries().begin()->second.sentAt;
+    const std::chrono::microseconds waited = m_clock.preciseNow() - exchange.tries().front().sentAt;
     if (!delay || waited < *delay)
         return;
     exchange.noteHedge();
@@ -67,10 +67,9 @@
 {
     TargetChooser& chooser = route(exchange.request().service).chooser;
     while (!exchange.tries().empty()) {
-        const std::string id = exchange.tries().begin()->first;
-        const Exchange::Try ended = *exchange.takeTry(id);
-        m_tries.erase(id);
-        m_send(ended.host, CallCancel { id });
+        const Exchange::Try ended = *exchange.takeTry(std::string(exchange.tries().front().id));
+        m_tries.erase(ended.id);
+        m_send(ended.host, CallCancel { ended.id });
         // The time waited so far is a lower bound of the latency of a try that lost to a hedge.
         const std::chrono::microseconds waited = m_clock.preciseNow() - ended.sentAt;
         const auto target = chooser.targets().find(ended.host);
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "entry/Exchange.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace hemlocklead {
@@ -10,23 +11,29 @@
 {
 }
 
-void Exchange::tryStarted(const std::string& id, Try started)
+void Exchange::tryStarted(Try started)
 {
     assert(m_request.idempotent || (m_tries.empty() && !m_mayHaveRun));
     m_triedHosts.insert(started.host);
-    m_tries.emplace(id, std::move(started));
+    m_tries.push_back(std::move(started));
 }
 
 std::optional<Exchange::Try> Exchange::takeTry(const std::string& id)
 {
-    const auto found = m_tries.find(id);
+    const auto found = std::ranges::find(m_tries, id, &Try::id);
     if (found == m_tries.end())
         return std::nullopt;
-    Try taken = std::move(found->second);
+    Try taken = std::move(*found);
     m_tries.erase(found);
     return taken;
 }
 
+const Exchange::Try* Exchange::findTry(const std::string& id) const
+{
+    const auto found = std::ranges::find(m_tries, id, &Try::id);
+    return found == m_tries.end() ? nullptr : &*found;
+}
+
 Exchange::Step Exchange::afterNotRun(ErrorKind reason)
 {
     m_lastRefusal = reason;
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -3,10 +3,10 @@
 #include "entry/CallRequest.h"
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hemlocklead {
 
@@ -17,6 +17,7 @@
 
     /// A Call that was handed to an agent's connection and has not ended.
     struct Try {
+        std::string id; ///< Request id of the Call.
         std::string host;
         std::chrono::microseconds sentAt { 0 };
     };
@@ -34,11 +35,14 @@
     const CallRequest& request() const { return m_request; }
     void answer(HttpResponse response) const { m_answer(std::move(response)); }
 
-    void tryStarted(const std::string& id, Try started);
+    void tryStarted(Try started);
 
     /// Removes the try; nullopt when it is not in progress.
     std::optional<Try> takeTry(const std::string& id);
-    const std::map<std::string, Try>& tries() const { return m_tries; }
+    const std::vector<Try>& tries() const { return m_tries; }
+
+    /// The try in progress with that id, or null.
+    const Try* findTry(const std::string& id) const;
 
     /// Hosts that tries were sent to.
     const std::set<std::string, std::less<>>& triedHosts() const { return m_triedHosts; }
@@ -71,7 +75,7 @@
 
     CallRequest m_request;
     Answer m_answer;
-    std::map<std::string, Try> m_tries; ///< In progress, by request id of the try.
+    std::vector<Try> m_tries; ///< In progress, oldest first.
     std::set<std::string, std::less<>> m_triedHosts;
     std::optional<ErrorKind> m_lastRefusal;
     bool m_mayHaveRun { false };
