--- a/src/transport/Address.cpp
+++ b/src/transport/Address.cpp
@@ -1,11 +1,23 @@
 #include "transport/Address.h"
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <charconv>
 
 namespace hemlocklead {
 
+Address boundAddress(int socket)
+{
+    sockaddr_in native {};
+    socklen_t length = sizeof native;
+    getsockname(socket, reinterpret_cast<sockaddr*>(&native), &length);
+    char ip[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &native.sin_addr, ip, sizeof ip);
+    return { ip, ntohs(native.sin_port) };
+}
+
 Result<Address> parseAddress(std::string_view text)
 {
     const size_t colon = text.rfind(':');
--- a/src/transport/FrameListener.cpp
+++ b/src/transport/FrameListener.cpp
@@ -33,6 +33,8 @@
     return {};
 }
 
+Address FrameListener::address() const { return boundAddress(evconnlistener_get_fd(m_native)); }
+
 void FrameListener::close()
 {
     if (m_native)
--- a/src/transport/FrameListener.h
+++ b/src/transport/FrameListener.h
@@ -22,6 +22,9 @@
     /// Binds and listens; fails with `InvalidSettings` when the address is in use or not of this host.
     Result<void> listen(const Address& address);
 
+    /// Address listened on.
+    Address address() const;
+
     /// Stops accepting.
     void close();
 
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -168,6 +168,8 @@
     return {};
 }
 
+Address HttpServer::address() const { return boundAddress(evhttp_bound_socket_get_fd(m_socket)); }
+
 void HttpServer::stopAccepting()
 {
     if (m_socket)
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -62,6 +62,9 @@
     /// Binds and listens; fails with `InvalidSettings`.
     Result<void> listen(const Address& address);
 
+    /// Address listened on.
+    Address address() const;
+
     /// Stops accepting connections; those that are open go on.
     void stopAccepting();
 
--- a/tests/unit/HttpServerTest.cpp
+++ b/tests/unit/HttpServerTest.cpp
@@ -17,7 +17,6 @@
     protected:
         void SetUp() override
         {
-            m_address = unusedAddress();
             m_server = std::make_unique<HttpServer>(
                 m_loop, [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                     m_requests.push_back(request);
@@ -28,7 +27,8 @@
                 });
             orElse(
                 [&]() -> Result<bool> {
-                    BOOST_LEAF_CHECK(m_server->listen(m_address));
+                    BOOST_LEAF_CHECK(m_server->listen({ "127.0.0.1", 0 }));
+                    m_address = m_server->address();
                     return true;
                 },
                 [](const Error& error) {
