Fix what clang-tidy found in the request path

Cause: clang-tidy reported copied parameters, an unused conversion and a plain new.

Change: the caller's body is moved instead of copied; the announcement is parsed field by field; HttpClient keeps its core alive by a reference to itself until the loop frees it.

--- a/src/agent/CallGate.cpp
+++ b/src/agent/CallGate.cpp
@@ -15,13 +15,8 @@
 
     constexpr double latencyWeight = 0.2; ///< Weight of a new sample in the moving average.
 
-    struct AnnouncementBody {
-        std::string address;
-        int64_t slots { 8 };
-        int64_t connections { 64 };
-    };
-
-    NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnnouncementBody, address, slots, connections)
+    constexpr int64_t defaultSlots = 8;
+    constexpr int64_t defaultConnections = 64;
 
     Result<SlotGate::Announcement> parseAnnouncement(
         const std::string& service, const std::string& instance, const HttpRequest& request)
@@ -29,11 +24,13 @@
         BOOST_LEAF_AUTO(json, parseJson(request.body));
         if (!json.is_object())
             return fail(ErrorKind::InvalidRequest, "announcement is no JSON object");
-        BOOST_LEAF_AUTO(body, fromJson<AnnouncementBody>(json));
-        BOOST_LEAF_CHECK(parseAddress(body.address));
-        if (body.slots < 1 || body.connections < 1)
+        BOOST_LEAF_AUTO(address, fromJson<std::string>(json.value("address", Json(""))));
+        BOOST_LEAF_AUTO(slots, fromJson<int64_t>(json.value("slots", Json(defaultSlots))));
+        BOOST_LEAF_AUTO(connections, fromJson<int64_t>(json.value("connections", Json(defaultConnections))));
+        BOOST_LEAF_CHECK(parseAddress(address));
+        if (slots < 1 || connections < 1)
             return fail(ErrorKind::InvalidRequest, "slots and connections must be at least 1");
-        return SlotGate::Announcement { service, instance, body.address, body.slots, body.connections };
+        return SlotGate::Announcement { service, instance, address, slots, connections };
     }
 
     CallReply refusalReply(ErrorKind reason)
--- a/src/coordination/TargetChooser.cpp
+++ b/src/coordination/TargetChooser.cpp
@@ -62,7 +62,7 @@
         entries = usable(need, isOut, true);
     if (entries.empty())
         return std::nullopt;
-    entries = preferOwn(std::move(entries), now);
+    entries = preferOwn(entries, now);
     const size_t first = m_random() % entries.size();
     if (entries.size() == 1)
         return entries[first]->first;
@@ -129,7 +129,7 @@
     return entries;
 }
 
-std::vector<TargetChooser::Entry> TargetChooser::preferOwn(std::vector<Entry> entries, Instant now) const
+std::vector<TargetChooser::Entry> TargetChooser::preferOwn(const std::vector<Entry>& entries, Instant now) const
 {
     std::vector<Entry> own;
     for (const Entry entry : entries) {
--- a/src/coordination/TargetChooser.h
+++ b/src/coordination/TargetChooser.h
@@ -70,7 +70,7 @@
 
     std::optional<std::string> chooseProbe(const Need& need, const IsOut& isOut, Instant now);
     std::vector<Entry> usable(const Need& need, const IsOut& isOut, bool allowTried) const;
-    std::vector<Entry> preferOwn(std::vector<Entry> entries, Instant now) const;
+    std::vector<Entry> preferOwn(const std::vector<Entry>& entries, Instant now) const;
     double score(Entry entry, Instant now) const;
 
     std::string m_ownDataCentre;
--- a/src/entry/CallRequest.cpp
+++ b/src/entry/CallRequest.cpp
@@ -69,7 +69,7 @@
     return { entry.limits.maxInFlight, entry.limits.maxQueued };
 }
 
-Result<CallRequest> parseCallRequest(const HttpRequest& request, const ControlState& control, Instant now)
+Result<CallRequest> parseCallRequest(HttpRequest request, const ControlState& control, Instant now)
 {
     const std::vector<std::string> segments = pathSegments(request.path);
     if (segments.size() < 2 || segments[0] != "call")
@@ -78,17 +78,16 @@
     BOOST_LEAF_AUTO(idempotent, parseIdempotent(request));
     BOOST_LEAF_AUTO(timeout, parseTimeout(request, entry->limits.timeoutMs));
     CallRequest call;
-    call.id = callerRequestId(request);
     call.name = segments[1];
     call.service = entry->service.empty() ? call.name : entry->service;
-    call.method = request.method;
     call.path = targetPath(request.path);
     call.headers = endToEndHeaders(request.headers);
-    call.body = request.body;
+    call.span = startSpan(request.header("traceparent"));
+    call.method = std::move(request.method);
+    call.body = std::move(request.body);
     call.idempotent = idempotent;
     call.deadline = now + timeout;
     call.limits = admissionLimits(*entry);
-    call.span = startSpan(request.header("traceparent"));
     return call;
 }
 
--- a/src/entry/CallRequest.h
+++ b/src/entry/CallRequest.h
@@ -13,7 +13,7 @@
 
 /// A caller's request to `/call/NAME/PATH` under the limits of the governing catalogue entry.
 struct CallRequest {
-    std::string id; ///< `X-Request-Id` of the caller, or a new one.
+    std::string id; ///< For the answer; set by the receiver of the request.
     std::string name; ///< Catalogue name.
     std::string service; ///< Service that targets announce.
     std::string method;
@@ -34,6 +34,6 @@
 
 /// Fails with `NotFound` when NAME is no catalogue item whose governing entry is answer-now, and with
 /// `InvalidRequest` when a `Hemlocklead-` header is malformed.
-Result<CallRequest> parseCallRequest(const HttpRequest& request, const ControlState& control, Instant now);
+Result<CallRequest> parseCallRequest(HttpRequest request, const ControlState& control, Instant now);
 
 } // namespace hemlocklead
--- a/src/entry/CallRouter.cpp
+++ b/src/entry/CallRouter.cpp
@@ -46,21 +46,23 @@
 {
 }
 
-uint64_t CallRouter::handle(const HttpRequest& request, const Exchange::Answer& answer)
+uint64_t CallRouter::handle(HttpRequest request, const Exchange::Answer& answer)
 {
     m_counters.add("requests");
     const uint64_t serial = ++m_lastSerial;
+    const std::string id = callerRequestId(request);
+    const std::string traceparent(request.header("traceparent"));
     const bool accepted = orElse(
         [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(call, parseCallRequest(request, m_control(), m_clock.now()));
+            BOOST_LEAF_AUTO(call, parseCallRequest(std::move(request), m_control(), m_clock.now()));
+            call.id = id;
             m_exchanges[serial] = std::make_unique<Exchange>(std::move(call), answer);
             return true;
         },
         [&](const Error& error) {
-            const std::string id = callerRequestId(request);
             HttpResponse response = errorResponse(error, id);
             response.headers.push_back({ "X-Request-Id", id });
-            response.headers.push_back({ "traceparent", startSpan(request.header("traceparent")).traceparent() });
+            response.headers.push_back({ "traceparent", startSpan(traceparent).traceparent() });
             answer(std::move(response));
             return false;
         });
--- a/src/entry/CallRouter.h
+++ b/src/entry/CallRouter.h
@@ -34,7 +34,7 @@
 
     /// Takes a request; `answer` is called exactly once unless the caller goes. Returns a number for `callerGone`,
     /// or 0 when it was answered at once.
-    uint64_t handle(const HttpRequest& request, const Exchange::Answer& answer);
+    uint64_t handle(HttpRequest request, const Exchange::Answer& answer);
 
     void callerGone(uint64_t serial);
 
--- a/src/entry/RequestService.cpp
+++ b/src/entry/RequestService.cpp
@@ -27,14 +27,14 @@
     {
     }
 
-    void handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
+    void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
     {
         if (!m_control.isServing()) {
             responder->reply(errorResponse({ ErrorKind::NotReady, "the configuration has not been loaded" }));
             return;
         }
-        const uint64_t serial
-            = m_router.handle(request, [responder](const HttpResponse& response) { responder->reply(response); });
+        const uint64_t serial = m_router.handle(
+            std::move(request), [responder](const HttpResponse& response) { responder->reply(response); });
         if (serial == 0)
             return;
         responder->onGone([this, serial] { m_router.callerGone(serial); });
@@ -93,7 +93,7 @@
 
 void RequestService::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
 {
-    m_core->handle(request, responder);
+    m_core->handle(std::move(request), std::move(responder));
 }
 
 size_t RequestService::inFlight() const { return m_core->router().inFlight(); }
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -141,6 +141,7 @@
     size_t maxConnections;
     bool closed { false };
     int callbackDepth { 0 };
+    std::shared_ptr<Core> self; ///< Set when the client was destroyed inside a callback, until the loop frees it.
     std::vector<evhttp_connection*> idle;
     std::vector<evhttp_connection*> retired; ///< Freed from the loop: the library may still use them.
     Timer retireTimer;
@@ -309,12 +310,13 @@
     m_core->closed = true;
     m_core->waiting.clear();
     // Inside a callback the library still uses the connection, so the rest is freed from the loop.
-    if (m_core->callbackDepth > 0)
-        event_base_once(
-            m_core->loop.native(), -1, EV_TIMEOUT, &releaseCore, new std::shared_ptr<Core>(m_core), nullptr);
+    if (m_core->callbackDepth == 0)
+        return;
+    m_core->self = m_core;
+    event_base_once(m_core->loop.native(), -1, EV_TIMEOUT, &releaseCore, m_core.get(), nullptr);
 }
 
-void HttpClient::releaseCore(int, short, void* core) { delete static_cast<std::shared_ptr<Core>*>(core); }
+void HttpClient::releaseCore(int, short, void* core) { std::exchange(static_cast<Core*>(core)->self, nullptr); }
 
 void HttpClient::closeIdle() { m_core->closeIdle(); }
 
