--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -29,8 +29,9 @@
 public:
     using Callback = std::function<void(HttpExchange)>;
 
-    /// At most `maxConnections` exchanges run at once; others wait their turn within their timeout.
-    HttpClient(EventLoop& loop, Address address, size_t maxConnections);
+    /// At most `maxConnections` exchanges run at once; others wait their turn within their timeout. A response with a
+    /// body over `maxResponseBytes` ends its exchange as `Unknown`.
+    HttpClient(EventLoop& loop, Address address, size_t maxConnections, size_t maxResponseBytes = maxBodyBytes);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
@@ -38,9 +39,14 @@
     /// Sends `request`; the exchange ends as `Unknown` or `NotSent` when `timeout` passes.
     void send(HttpRequest request, Duration timeout, Callback callback);
 
+    /// Closes the connections without an exchange, for example after a response that belongs to another request.
+    void closeIdle();
+
     const Address& address() const { return m_address; }
 
 private:
+    static void releaseCore(int, short, void* core);
+
     class Exchange;
     struct Waiting;
     struct Core;
