--- a/src/entry/ControlService.cpp
+++ b/src/entry/ControlService.cpp
@@ -154,7 +154,7 @@
     , m_agents(agents)
     , m_peers(peers)
     , m_counters(counters)
-    , m_rollouts(clock, agents, peers, settings.ownerTimeout)
+    , m_rollouts(clock, agents, peers, settings)
     , m_fold([this](uint64_t offset, const Json& record) {
         const std::string name = rolloutName(record);
         if (!name.empty())
--- /dev/null
+++ b/src/entry/EntryProcess.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace hemlocklead {
+
+/// Runs an entry process until SIGTERM has been handled: 0 after a planned stop, 1 after a second SIGTERM, 2 when the
+/// settings are refused or an address is in use.
+int runEntry(const std::string& settingsFile);
+
+} // namespace hemlocklead
--- a/src/entry/Rollouts.cpp
+++ b/src/entry/Rollouts.cpp
@@ -1,12 +1,14 @@
 #include "entry/Rollouts.h"
 
+#include <algorithm>
+
 namespace hemlocklead {
 
-Rollouts::Rollouts(const Clock& clock, const AgentHub& agents, const PeerHub& peers, Duration peerTimeout)
+Rollouts::Rollouts(const Clock& clock, const AgentHub& agents, const PeerHub& peers, const EntrySettings& settings)
     : m_clock(clock)
     , m_agents(agents)
     , m_peers(peers)
-    , m_peerTimeout(peerTimeout)
+    , m_settings(settings)
 {
 }
 
@@ -26,12 +28,13 @@
 Rollouts::Reach Rollouts::reach(uint64_t offset) const
 {
     Reach reach;
+    const bool vouched = peersVouch(offset);
     for (const auto& [host, agent] : m_agents.agents()) {
         ++reach.agents;
-        if (agent.last.controlOffset > offset)
+        if (agent.last.controlOffset > offset || (vouched && !agent.last.home))
             ++reach.agentsInForce;
     }
-    for (const PeerView& peer : m_peers.livePeers(m_peerTimeout)) {
+    for (const PeerView& peer : m_peers.livePeers(m_settings.ownerTimeout)) {
         ++reach.peers;
         if (peer.last.controlOffset > offset)
             ++reach.peersInForce;
@@ -39,6 +42,13 @@
     return reach;
 }
 
+bool Rollouts::peersVouch(uint64_t offset) const
+{
+    const std::vector<PeerView> peers = m_peers.livePeers(m_settings.ownerTimeout);
+    return !peers.empty() && peers.size() == m_settings.peers.size()
+        && std::ranges::all_of(peers, [&](const PeerView& peer) { return peer.last.homeAgentsOffset > offset; });
+}
+
 Json Rollouts::describe(const std::string& name, uint64_t offset)
 {
     update();
--- a/src/entry/Rollouts.h
+++ b/src/entry/Rollouts.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "entry/AgentHub.h"
+#include "entry/EntrySettings.h"
 #include "entry/PeerHub.h"
 
 #include <map>
@@ -17,12 +18,13 @@
     std::optional<Instant> everywhereAt; ///< When every connected agent and live peer had reported it.
 };
 
-/// Tells at how many agents and peers an edit of the control stream is in force, from the offsets that they report.
+/// Tells at how many agents and peers an edit of the control stream is in force, from the offsets that they report. For
+/// an agent whose home is another entry, that entry hears first and tells it in its pings.
 ///
 /// An agent that is not connected is not counted: without a fresh view it starts nothing (design section 7).
 class Rollouts {
 public:
-    Rollouts(const Clock& clock, const AgentHub& agents, const PeerHub& peers, Duration peerTimeout);
+    Rollouts(const Clock& clock, const AgentHub& agents, const PeerHub& peers, const EntrySettings& settings);
 
     /// Notes an edit of `name` that was just folded; it replaces an earlier edit of the name.
     void add(const std::string& name, uint64_t offset);
@@ -46,10 +48,13 @@
 
     Reach reach(uint64_t offset) const;
 
+    /// Whether all peers are heard and say that the edit is in force at their home agents.
+    bool peersVouch(uint64_t offset) const;
+
     const Clock& m_clock;
     const AgentHub& m_agents;
     const PeerHub& m_peers;
-    Duration m_peerTimeout;
+    const EntrySettings& m_settings;
     std::map<std::string, Rollout, std::less<>> m_rollouts;
 };
 
--- a/src/protocol/MessageJson.h
+++ b/src/protocol/MessageJson.h
@@ -29,7 +29,8 @@
 HEMLOCKLEAD_JSON(CallReply, id, outcome, error, status, headers, body, bodyBytes, bodyHash, atTarget, busy)
 HEMLOCKLEAD_JSON(CallCancel, id)
 HEMLOCKLEAD_JSON(ShardOwnership, shard, epoch)
-HEMLOCKLEAD_JSON(PeerPing, entry, address, incarnation, sequence, serving, leaving, controlOffset, owned)
+HEMLOCKLEAD_JSON(
+    PeerPing, entry, address, incarnation, sequence, serving, leaving, controlOffset, homeAgentsOffset, owned)
 HEMLOCKLEAD_JSON(PeerPong, entry, sequence)
 HEMLOCKLEAD_JSON(StateRequest, sequence)
 HEMLOCKLEAD_JSON(StateReply, sequence, serving, offset, state)
--- a/src/protocol/Messages.h
+++ b/src/protocol/Messages.h
@@ -214,6 +214,7 @@
     bool serving { false };
     bool leaving { false };
     uint64_t controlOffset { 0 };
+    uint64_t homeAgentsOffset { 0 }; ///< Lowest control offset that the agents report whose home entry this is.
     std::vector<ShardOwnership> owned;
 };
 
