Admit queued requests when a limit is raised

Cause: a queued request was admitted only when another ended, so a limit raised from 0 had no effect on the queue.

Change: the tick admits one queued request per catalogue name if there is room.

--- a/src/entry/CallRouterTick.cpp
+++ b/src/entry/CallRouterTick.cpp
@@ -7,6 +7,11 @@
 void CallRouter::tick()
 {
     shedQueued();
+    // A limit that was raised admits queued requests although none has ended.
+    for (const auto& [name, queue] : m_admission) {
+        if (queue.queued() > 0)
+            admitNext(name);
+    }
     std::vector<uint64_t> serials;
     serials.reserve(m_exchanges.size());
     for (const auto& [serial, exchange] : m_exchanges)
--- a/src/entry/RequestService.cpp
+++ b/src/entry/RequestService.cpp
@@ -33,11 +33,13 @@
             responder->reply(errorResponse({ ErrorKind::NotReady, "the configuration has not been loaded" }));
             return;
         }
-        const uint64_t serial = m_router.handle(
-            std::move(request), [responder](const HttpResponse& response) { responder->reply(response); });
+        // The exchange in progress holds the responder.
+        HttpResponder* held = responder.get();
+        const uint64_t serial = m_router.handle(std::move(request),
+            [responder = std::move(responder)](const HttpResponse& response) { responder->reply(response); });
         if (serial == 0)
             return;
-        responder->onGone([this, serial] { m_router.callerGone(serial); });
+        held->onGone([this, serial] { m_router.callerGone(serial); });
         if (!m_ticking)
             startTicking();
     }
--- a/tests/unit/CallSimulation.h
+++ b/tests/unit/CallSimulation.h
@@ -95,7 +95,6 @@
     CallRouter m_router;
     std::vector<Host> m_hosts;
     std::vector<Event> m_events;
-    uint64_t m_lastOrder { 0 };
     std::map<std::string, std::vector<Outcome>> m_outcomes;
     std::map<std::string, int> m_runs; ///< By path.
 };
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -17,7 +17,8 @@
     protected:
         static HttpRequest makeRequest(std::string method = "POST")
         {
-            return { std::move(method), "/x", {}, method == "POST" ? "body" : "" };
+            const std::string body = method == "POST" ? "body" : "";
+            return { std::move(method), "/x", {}, body };
         }
 
         HttpExchange send(HttpClient& client, HttpRequest request, Duration timeout = Duration { 1500 })
--- a/tests/unit/RawSockets.cpp
+++ b/tests/unit/RawSockets.cpp
@@ -25,7 +25,8 @@
     {
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in native = loopback(0);
-        bind(socket, reinterpret_cast<const sockaddr*>(&native), sizeof native);
+        if (bind(socket, reinterpret_cast<const sockaddr*>(&native), sizeof native) != 0)
+            std::abort();
         socklen_t length = sizeof native;
         getsockname(socket, reinterpret_cast<sockaddr*>(&native), &length);
         address = { "127.0.0.1", ntohs(native.sin_port) };
