Make the test of a new home entry tell the fault

Cause: with the fault put back in, home_withOldView_isReplaced still passed: the new home had just answered by then. Change: the change of home falls in the middle of the long interval.

--- a/tests/unit/EntryLinksTest.cpp
+++ b/tests/unit/EntryLinksTest.cpp
@@ -111,7 +111,7 @@
     // entry that counts as silent because it was asked less often before.
     TEST_F(EntryLinksTest, home_withOldView_isReplaced)
     {
-        ASSERT_TRUE(reaches([&] { return hasHome() && home().keepalives.size() >= 9; }));
+        ASSERT_TRUE(reaches([&] { return hasHome() && home().keepalives.size() >= 6; }));
         FakeEntry& old = home();
         FakeEntry& fresh = other();
         old.viewAge = Duration { 1600 };
