--- a/src/entry/ControlHttp.cpp
+++ b/src/entry/ControlHttp.cpp
@@ -116,7 +116,7 @@
 {
 }
 
-void ControlHttp::handle(const HttpRequest& request, Reply reply)
+void ControlHttp::handle(const HttpRequest& request, const Reply& reply)
 {
     if (!m_control.isServing()) {
         reply(errorResponse({ ErrorKind::NotReady, "this entry has not read the configuration yet" }));
@@ -202,13 +202,13 @@
         [&](const Error& error) { reply(errorResponse(error)); });
 }
 
-void ControlHttp::editItem(const std::string& name, uint64_t baseVersion, Json record, Reply reply)
+void ControlHttp::editItem(const std::string& name, uint64_t baseVersion, const Json& record, const Reply& reply)
 {
     const CatalogueItem* item = m_control.state().item(name);
     // A version never goes down, so an edit of an older one has lost already.
     if (item && baseVersion < item->version)
         return reply(refusal(ErrorKind::Conflict, refusalMessage(ErrorKind::Conflict, name), itemJson(name), name));
-    m_control.edit(std::move(record), [this, name, reply = std::move(reply)](const EditOutcome& outcome) {
+    m_control.edit(record, [this, name, reply](const EditOutcome& outcome) {
         if (outcome.error)
             return reply(refusal(*outcome.error, refusalMessage(*outcome.error, name), itemJson(name), name));
         reply(ok(itemJson(name)));
@@ -295,8 +295,8 @@
 void ControlHttp::editDataCentre(const DataCentreEdit& edit, const Reply& reply)
 {
     const uint64_t base = edit.baseVersion.value_or(dataCentreVersion(edit.name));
-    Json record = dataCentreSetRecord(edit.name, base, edit.out, edit.by);
-    m_control.edit(std::move(record), [this, edit, reply](const EditOutcome& outcome) {
+    const Json record = dataCentreSetRecord(edit.name, base, edit.out, edit.by);
+    m_control.edit(record, [this, edit, reply](const EditOutcome& outcome) {
         if (!outcome.error)
             return reply(ok(dataCentreJson(edit.name)));
         if (*outcome.error == ErrorKind::Conflict && edit.triesLeft > 1) {
--- a/src/entry/ControlHttp.h
+++ b/src/entry/ControlHttp.h
@@ -18,7 +18,7 @@
     ControlHttp(ControlService& control, const AgentHub& agents, const EntrySettings& settings);
 
     /// Answers a request whose path begins with `/catalogue` or `/datacentres`; an edit once its record is folded.
-    void handle(const HttpRequest& request, Reply reply);
+    void handle(const HttpRequest& request, const Reply& reply);
 
 private:
     /// A data centre edit; without `baseVersion` it applies to whatever version is current.
@@ -35,7 +35,7 @@
     HttpResponse showHistory(const std::string& name) const;
     void setEntry(const std::string& name, const HttpRequest& request, const Reply& reply);
     void govern(const std::string& name, const HttpRequest& request, const Reply& reply);
-    void editItem(const std::string& name, uint64_t baseVersion, Json record, Reply reply);
+    void editItem(const std::string& name, uint64_t baseVersion, const Json& record, const Reply& reply);
     HttpResponse listDataCentres();
     HttpResponse showDataCentre(const std::string& name);
     void setDataCentre(const std::string& name, const HttpRequest& request, const Reply& reply);
--- a/src/entry/ControlService.cpp
+++ b/src/entry/ControlService.cpp
@@ -100,7 +100,7 @@
         LogService& log, Counters& counters);
 
     void start(std::function<bool()> writesSnapshots);
-    void edit(Json record, EditDone done);
+    void edit(const Json& record, EditDone done);
     Duration age() const;
     bool isServing() const { return m_stream.isCaughtUp() || (m_adopted && !m_stream.isStateLost()); }
     void answerKeepalive(const std::string& host, const Keepalive& keepalive);
@@ -225,14 +225,14 @@
     return confirmed ? m_clock.now() - *confirmed : neverConfirmed;
 }
 
-void ControlService::Core::edit(Json record, EditDone done)
+void ControlService::Core::edit(const Json& record, EditDone done)
 {
     const uint64_t id = m_nextEdit++;
     PendingEdit pending { std::make_unique<Timer>(m_loop), std::move(done) };
     pending.timer->startOnce(editTimeout, [this, id] { finishEdit(id, { ErrorKind::OutcomeUnknown, 0 }); });
     m_edits.emplace(id, std::move(pending));
     const std::weak_ptr<Core> weak = weak_from_this();
-    m_stream.append(std::move(record), [weak, id](const RecordVerdict& verdict) {
+    m_stream.append(record, [weak, id](const RecordVerdict& verdict) {
         if (const auto self = weak.lock())
             self->finishEdit(id, outcomeOf(verdict));
     });
@@ -321,7 +321,7 @@
 
 void ControlService::start(std::function<bool()> writesSnapshots) { m_core->start(std::move(writesSnapshots)); }
 
-void ControlService::edit(Json record, EditDone done) { m_core->edit(std::move(record), std::move(done)); }
+void ControlService::edit(const Json& record, EditDone done) { m_core->edit(record, std::move(done)); }
 
 const ControlState& ControlService::state() const { return m_core->state(); }
 
--- a/src/entry/ControlService.h
+++ b/src/entry/ControlService.h
@@ -33,7 +33,7 @@
 
     /// Appends an edit. `done` runs once the record has been folded here; with `LogUnavailable` when it was proved not
     /// stored, `OutcomeUnknown` when that is not known after 5 s, `Conflict` or `NotGoverning` when it is void.
-    void edit(Json record, EditDone done);
+    void edit(const Json& record, EditDone done);
 
     const ControlState& state() const override;
     Duration age() const override;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -180,7 +180,7 @@
         return;
     m_drainTimer.cancel();
     m_jobs.release(releaseTimeout, [this] {
-        LogEvent(LogLevel::Info, "drained");
+        LogEvent(LogLevel::Info, "drained").field("entry", m_settings.name);
         m_loop.stop();
     });
 }
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -24,7 +24,7 @@
         loop.onTerminate([&] {
             if (!node.isDraining())
                 return node.drain();
-            LogEvent(LogLevel::Warning, "stopped_at_once");
+            LogEvent(LogLevel::Warning, "stopped_at_once").field("entry", settings.name);
             exitCode = stoppedAtOnce;
             loop.stop();
         });
--- a/tests/support/FreePort.h
+++ b/tests/support/FreePort.h
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cassert>
+
 namespace hemlocklead {
 
 /// An address on 127.0.0.1 whose port the kernel chose as free. Nothing reserves it after the call.
@@ -17,8 +19,9 @@
     native.sin_family = AF_INET;
     native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof native;
-    bind(socket, reinterpret_cast<const sockaddr*>(&native), length);
-    getsockname(socket, reinterpret_cast<sockaddr*>(&native), &length);
+    const bool isBound = bind(socket, reinterpret_cast<const sockaddr*>(&native), length) == 0
+        && getsockname(socket, reinterpret_cast<sockaddr*>(&native), &length) == 0;
+    assert(isBound);
     close(socket);
     return { "127.0.0.1", ntohs(native.sin_port) };
 }
--- a/tests/support/ProcessRunner.cpp
+++ b/tests/support/ProcessRunner.cpp
@@ -64,6 +64,7 @@
     std::vector<std::string> texts { program };
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
+    argv.reserve(texts.size() + 1);
     for (std::string& text : texts)
         argv.push_back(text.data());
     argv.push_back(nullptr);
@@ -117,7 +118,7 @@
 
 std::string ProcessRunner::writeFile(const std::string& name, const std::string& text) const
 {
-    const std::string path = m_folder + "/" + name;
+    std::string path = m_folder + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
--- a/tests/system/WholePathTest.cpp
+++ b/tests/system/WholePathTest.cpp
@@ -129,15 +129,17 @@
         const auto everywhere = [&] {
             std::map<std::string, uint64_t> reported;
             for (size_t entry = 0; entry < 2; ++entry) {
-                for (const Json& agent : m_site.get(entry, "/status")["agents"]) {
+                const Json status = m_site.get(entry, "/status");
+                for (const Json& agent : status["agents"]) {
                     uint64_t& newest = reported[agent["host"].get<std::string>()];
                     newest = std::max(newest, agent["control_offset"].get<uint64_t>());
                 }
             }
-            return reported.size() == 3
+            return reported.size() == m_site.hosts().size()
                 && std::ranges::all_of(reported, [&](const auto& each) { return each.second >= offset; });
         };
-        ASSERT_TRUE(waitUntil(everywhere, configurationBound));
+        ASSERT_TRUE(waitUntil(everywhere, configurationBound))
+            << jsonText(m_site.get(0, "/status")["agents"]) << jsonText(m_site.get(1, "/status")["agents"]);
         EXPECT_LT(std::chrono::steady_clock::now() - start, configurationBound);
     }
 
--- a/tests/unit/HubsTest.cpp
+++ b/tests/unit/HubsTest.cpp
@@ -216,7 +216,8 @@
         startBoth(200);
         std::optional<StateReply> ofSecond;
         bool firstAnswered = false;
-        m_first.peers.requestState(Duration { 2000 }, [&](std::optional<StateReply> reply) { ofSecond = reply; });
+        m_first.peers.requestState(
+            Duration { 2000 }, [&](const std::optional<StateReply>& reply) { ofSecond = reply; });
         m_second.peers.requestState(Duration { 500 }, [&](const std::optional<StateReply>& reply) {
             firstAnswered = true;
             EXPECT_FALSE(reply);
