Keep the ports of tests reserved until the test process ends

Cause: dataCentreOut_tasksMoveAndNoneStartsThere failed once in seven runs, beside two other sites. Its output was not kept; a port that the kernel gave to another connection before the program listened is the suspected cause. Change: freeAddress keeps its socket bound without listening. Conclusion: not proved to be the cause of that failure.

--- a/tests/support/FreePort.h
+++ b/tests/support/FreePort.h
@@ -5,16 +5,20 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <cassert>
 
 namespace hemlocklead {
 
-/// An address on 127.0.0.1 whose port the kernel chose as free. Nothing reserves it after the call.
+/// An address on 127.0.0.1 whose port the kernel chose as free.
+///
+/// The socket stays bound, without listening, until this process ends. Otherwise the kernel could give the port to an
+/// outgoing connection before the program under test listens. Listeners set SO_REUSEADDR, so they can share it.
 inline Address freeAddress()
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in native {};
     native.sin_family = AF_INET;
     native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -22,7 +26,6 @@
     const bool isBound = bind(socket, reinterpret_cast<const sockaddr*>(&native), length) == 0
         && getsockname(socket, reinterpret_cast<sockaddr*>(&native), &length) == 0;
     assert(isBound);
-    close(socket);
     return { "127.0.0.1", ntohs(native.sin_port) };
 }
 
