Report a configuration change as soon as it is in force at an agent

Cause: an agent applied a pushed change at once, but entries heard of it with the next keepalive, up to 2 s later; under load the report of 'in force everywhere' missed the bound of 4 s (one failure of catalogueEdit in a parallel test run). Change: an agent that has applied a change sends a keepalive to the entry that it came from.

--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -17,8 +17,9 @@
     /// Applies the configuration that entries send and tells them how far it has come.
     class ControlHandler final : public EntryHandler {
     public:
-        explicit ControlHandler(AgentControl& control)
+        ControlHandler(AgentControl& control, EntryLinks& links)
             : m_control(control)
+            , m_links(links)
         {
         }
 
@@ -27,16 +28,24 @@
             keepalive.controlOffset = m_control.state().nextOffset();
         }
 
-        void entryMessage(size_t, const Message& message) override
+        void entryMessage(size_t entry, const Message& message) override
         {
-            if (const auto* reply = std::get_if<KeepaliveReply>(&message))
-                m_control.apply(reply->delta);
+            const auto* reply = std::get_if<KeepaliveReply>(&message);
+            if (!reply)
+                return;
+            const uint64_t offset = m_control.state().nextOffset();
+            m_control.apply(reply->delta);
+            // Reported at once: operators wait for the news that a change is in force everywhere, and the next
+            // keepalive would add its whole interval to that.
+            if (m_control.state().nextOffset() > offset)
+                m_links.keepaliveNow(entry);
         }
 
         void entryGone(size_t) override { }
 
     private:
         AgentControl& m_control;
+        EntryLinks& m_links;
     };
 
     /// The parts of an agent process.
@@ -45,7 +54,7 @@
         explicit AgentProcess(AgentSettings settings)
             : m_settings(std::move(settings))
             , m_links(m_loop, m_clock, m_settings, m_counters)
-            , m_controlHandler(m_control)
+            , m_controlHandler(m_control, m_links)
             , m_worker(m_loop, m_settings.workerAddress)
             , m_tasks(m_loop, m_clock, m_settings, m_control, m_links, m_worker, m_counters)
             , m_calls(m_loop, m_clock, m_settings, m_control, m_links, m_counters,
