--- a/src/coordination/LogStream.cpp
+++ b/src/coordination/LogStream.cpp
@@ -23,9 +23,9 @@
 
 Json LogStream::snapshot() const { return m_core->snapshot(); }
 
-void LogStream::append(const Json& record, std::function<void(RecordVerdict)> done)
+void LogStream::append(Json record, std::function<void(RecordVerdict)> done)
 {
-    m_core->append(record, std::move(done));
+    m_core->append(std::move(record), std::move(done));
 }
 
 size_t LogStream::pendingAppends() const { return m_core->pendingAppends(); }
--- a/src/coordination/LogStream.h
+++ b/src/coordination/LogStream.h
@@ -79,7 +79,7 @@
     /// Appends a record. `done` runs once this stream has folded it at its offset, or once it is proved not stored.
     /// After an append without answer the stream is read back before the same batch is appended again; this goes on
     /// until the log answers, so a caller that cannot wait needs its own deadline. Destroying the stream drops `done`.
-    void append(const Json& record, std::function<void(RecordVerdict)> done);
+    void append(Json record, std::function<void(RecordVerdict)> done);
 
     /// Records waiting or in flight.
     size_t pendingAppends() const;
--- a/src/coordination/LogStreamAppend.cpp
+++ b/src/coordination/LogStreamAppend.cpp
@@ -3,7 +3,7 @@
 
 namespace hemlocklead {
 
-void LogStream::Core::append(const Json& record, Done done)
+void LogStream::Core::append(Json&& record, Done done)
 {
     m_waiting.push_back({ jsonText(record), std::move(done), m_clock.now() });
 }
--- a/src/coordination/LogStreamCore.h
+++ b/src/coordination/LogStreamCore.h
@@ -21,7 +21,7 @@
     void tick();
     void adopt(const Json& snapshot);
     Json snapshot() const;
-    void append(const Json& record, Done done);
+    void append(Json&& record, Done done);
     size_t pendingAppends() const;
     void pollNow() { m_nextReadAt = m_clock.now(); }
     void writeSnapshot(std::function<void(bool)> done);
