--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -3,6 +3,7 @@
 #include "agent/CallService.h"
 #include "agent/TaskService.h"
 #include "base/Log.h"
+#include "transport/Traffic.h"
 #include "transport/WorkerHttpClient.h"
 
 #include <cstdio>
@@ -89,12 +90,18 @@
             if (first == "targets")
                 return m_calls.handleAnnouncement(request);
             if (first == "metrics")
-                return { 200, { { "Content-Type", "text/plain" } }, m_counters.text() };
+                return metrics();
             if (first == "health")
                 return jsonResponse(m_leaving ? 503 : 200, m_leaving ? R"({"leaving": true})" : "{}");
             return errorResponse({ ErrorKind::NotFound, "no such path" });
         }
 
+        HttpResponse metrics()
+        {
+            Traffic::instance().publish(m_counters);
+            return { 200, { { "Content-Type", "text/plain" } }, m_counters.text() };
+        }
+
         /// Planned stop (design section 9): announce it, finish calls, checkpoint and stop tasks, report, exit.
         void leave()
         {
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "entry/EntryStatus.h"
+#include "transport/Traffic.h"
 
 #include <algorithm>
 
@@ -154,6 +155,7 @@
 HttpResponse EntryNode::metrics()
 {
     m_counters.set("requests_open", openRequests());
+    Traffic::instance().publish(m_counters);
     return textResponse(200, m_counters.text());
 }
 
--- a/src/state/Attempt.h
+++ b/src/state/Attempt.h
@@ -14,6 +14,7 @@
     uint32_t index { 0 }; ///< Task of the job, from 0.
     uint32_t attempt { 0 }; ///< Number of the attempt, from 1.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 reports the defaulted comparison by mistake.
     auto operator<=>(const AttemptKey&) const = default;
 
     /// `JOB.INDEX.ATTEMPT`, the id of the task on the worker.
