Pass handlers and records without needless copies

Change: the handlers are moved, the record is passed by reference. Conclusion: no change of behaviour.

--- a/src/entry/JobHttp.cpp
+++ b/src/entry/JobHttp.cpp
@@ -87,15 +87,15 @@
 {
 }
 
-void JobHttp::handle(const HttpRequest& request, const Reply& reply) { dispatch({ request, true, reply }); }
+void JobHttp::handle(const HttpRequest& request, Reply reply) { dispatch({ request, true, std::move(reply) }); }
 
-void JobHttp::handleForwarded(const Forward& request, const std::function<void(ForwardReply)>& reply)
+void JobHttp::handleForwarded(const Forward& request, std::function<void(ForwardReply)> reply)
 {
     HttpRequest http;
     http.method = request.method;
     http.path = request.path;
     http.body = request.body;
-    dispatch({ http, false, [reply, id = request.id](const HttpResponse& response) {
+    dispatch({ http, false, [reply = std::move(reply), id = request.id](const HttpResponse& response) {
                   reply({ id, response.status, response.body, std::string(response.header("Hemlocklead-Outcome")) });
               } });
 }
--- a/src/entry/JobHttp.h
+++ b/src/entry/JobHttp.h
@@ -37,10 +37,10 @@
     JobHttp(const ShardEnvironment& environment, Routing routing);
 
     /// Answers a caller's request, forwarding it once where needed.
-    void handle(const HttpRequest& request, const Reply& reply);
+    void handle(const HttpRequest& request, Reply reply);
 
     /// Answers what a peer forwarded; never forwards.
-    void handleForwarded(const Forward& request, const std::function<void(ForwardReply)>& reply);
+    void handleForwarded(const Forward& request, std::function<void(ForwardReply)> reply);
 
 private:
     struct Exchange {
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -213,11 +213,11 @@
 
 void JobService::start() { m_core->start(); }
 
-void JobService::handle(const HttpRequest& request, Reply reply) { m_core->http().handle(request, reply); }
+void JobService::handle(const HttpRequest& request, Reply reply) { m_core->http().handle(request, std::move(reply)); }
 
 void JobService::handleForwarded(const Forward& request, std::function<void(ForwardReply)> reply)
 {
-    m_core->http().handleForwarded(request, reply);
+    m_core->http().handleForwarded(request, std::move(reply));
 }
 
 std::vector<ShardOwnership> JobService::owned() const { return m_core->owned(); }
--- a/src/entry/ShardLog.cpp
+++ b/src/entry/ShardLog.cpp
@@ -56,10 +56,10 @@
         && m_authority.holds(state().claim(), m_epoch, m_stream->confirmedAt(), m_environment.clock.now());
 }
 
-void ShardLog::append(Json record, Done done)
+void ShardLog::append(const Json& record, Done done)
 {
-    m_stream->append(std::move(record),
-        [alive = std::weak_ptr<bool>(m_alive), done = std::move(done)](const RecordVerdict& verdict) {
+    m_stream->append(
+        record, [alive = std::weak_ptr<bool>(m_alive), done = std::move(done)](const RecordVerdict& verdict) {
             if (!alive.expired())
                 done(verdict);
         });
--- a/src/entry/ShardLog.h
+++ b/src/entry/ShardLog.h
@@ -47,7 +47,7 @@
 
     /// Appends a record of this owner. `done` runs once it is folded or proved not stored, and never after this object
     /// is gone.
-    void append(Json record, Done done);
+    void append(const Json& record, Done done);
 
     /// Appends the release of the own claim. `done` runs once that is decided; no new claim is made.
     void release(std::function<void()> done);
