Follow clang-tidy in the job tests

Cause: clang-tidy reports a copied parameter in JobHttpTest and a vector without reserved room in PlacementTest. Change: the parameter is a reference, the room is reserved; no check changes. Conclusion: no change of behaviour.

--- a/tests/unit/JobHttpTest.cpp
+++ b/tests/unit/JobHttpTest.cpp
@@ -14,7 +14,7 @@
         {
             return { [this](uint32_t) { return m_isOwner ? m_world.ownerAt(0) : nullptr; },
                 [this](uint32_t) { return m_remote; },
-                [this](const std::string&, Forward request, const std::function<void(ForwardReply)>& done) {
+                [this](const std::string&, const Forward& request, const std::function<void(ForwardReply)>& done) {
                     m_forwarded.push_back(request);
                     done({ request.id, 202, "{}", "done" });
                 },
--- a/tests/unit/PlacementTest.cpp
+++ b/tests/unit/PlacementTest.cpp
@@ -124,6 +124,7 @@
         add("other", "two", 3);
         add("urgent", "three", 4, true);
         std::vector<std::string> order;
+        order.reserve(8);
         for (int i = 0; i < 8; ++i)
             order.push_back(next());
         const std::vector<std::string> expected { "urgent", "urgent", "old", "other", "old", "other", "newer",
