Spell out the order of attempt keys

Cause: clang-tidy reports modernize-use-nullptr at the defaulted comparison of AttemptKey in each file that uses it as a map key, for example LeaseBook.cpp. Change: the comparison is written with std::tie; the order is the same. Conclusion: no change of behaviour.

--- a/src/state/Attempt.h
+++ b/src/state/Attempt.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace hemlocklead {
 
@@ -14,7 +15,13 @@
     uint32_t index { 0 }; ///< Task of the job, from 0.
     uint32_t attempt { 0 }; ///< Number of the attempt, from 1.
 
-    auto operator<=>(const AttemptKey&) const = default;
+    bool operator==(const AttemptKey&) const = default;
+
+    // Spelled out, because clang-tidy reports the literal 0 inside a defaulted comparison as a null pointer.
+    auto operator<=>(const AttemptKey& other) const
+    {
+        return std::tie(job, index, attempt) <=> std::tie(other.job, other.index, other.attempt);
+    }
 
     /// `JOB.INDEX.ATTEMPT`, the id of the task on the worker.
     std::string taskId() const;
