--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -78,8 +78,9 @@
     curl -sf "http://$http/health" >/dev/null 2>&1 && break
     sleep 0.1
 done
-put_entry() { # name, class, cpu
-    curl -sf -X PUT "http://$http/catalogue/$1" -d "{\"base_version\":0,\"owner\":\"operations\",\"team\":\"$4\",\"class\":\"$2\",\"limits\":{\"perTask\":{\"cpuMilli\":$3,\"memoryMib\":64}}}" >/dev/null \
+put_entry() { # name, class, cpu, team
+    local body="{\"base_version\":0,\"entry\":{\"owner\":\"operations\",\"team\":\"$4\",\"workClass\":\"$2\",\"limits\":{\"perTask\":{\"cpuMilli\":$3,\"memoryMib\":64}}}}"
+    curl -sf -X PUT "http://$http/catalogue/$1" -d "$body" >/dev/null \
         || { echo "measure-capacity: cannot publish $1" >&2; exit 1; }
 }
 put_entry watch "standing watch" 100 measured
