Leave default fields out of frames

Cause: a frame named every field of its message, also those with their default value, which the decoder fills in by itself. Change: the encoder drops fields that equal the default-constructed message.

--- a/src/protocol/Codec.cpp
+++ b/src/protocol/Codec.cpp
@@ -28,6 +28,30 @@
 
     constexpr auto decoders = makeDecoders(static_cast<const Message*>(nullptr));
 
+    /// Removes fields that have their default value, which the decoder fills in; also inside nested objects, as far as
+    /// their defaults do not depend on where they stand. Most fields of most messages have it.
+    void removeDefaults(Json& json, const Json& defaults)
+    {
+        for (auto field = json.begin(); field != json.end();) {
+            const auto known = defaults.find(field.key());
+            if (known != defaults.end() && *known == *field) {
+                field = json.erase(field);
+                continue;
+            }
+            if (known != defaults.end() && field->is_object() && known->is_object())
+                removeDefaults(*field, *known);
+            ++field;
+        }
+    }
+
+    template <typename T> Json compactJson(const T& message)
+    {
+        static const Json defaults(T {});
+        Json json(message);
+        removeDefaults(json, defaults);
+        return json;
+    }
+
     /// Whether checked MessagePack nests at most `maxNesting` deep. The library's decoder recurses, so deeper input
     /// could exhaust the stack.
     bool nestingIsBounded(const char* data, const char* end)
@@ -72,7 +96,7 @@
 
 std::string encodeFrame(const Message& message)
 {
-    Json json = std::visit([](const auto& value) { return Json(value); }, message);
+    Json json = std::visit([](const auto& value) { return compactJson(value); }, message);
     json["t"] = messageNames[message.index()];
     std::string frame(frameHeaderBytes, '\0');
     Json::to_msgpack(json, nlohmann::detail::output_adapter<char>(frame));
--- a/tests/unit/CodecTest.cpp
+++ b/tests/unit/CodecTest.cpp
@@ -34,6 +34,25 @@
         EXPECT_EQ(std::get<Start>(decoded).checkpoint, start.checkpoint);
     }
 
+    // Guards against a field that is left out as default and decoded as another value.
+    TEST_F(CodecTest, codec_defaultFields_areLeftOutAndRestored)
+    {
+        const auto roundTrip = [](const Message& message) {
+            const std::string frame = encodeFrame(message);
+            return orElse([&] { return decodePayload(std::string_view(frame).substr(frameHeaderBytes)); },
+                [](const Error&) { return Message {}; });
+        };
+        const Stop stop { 0, 0, { "j", 0, 0 }, EndReason::Failed, false };
+        const auto decoded = std::get<Stop>(roundTrip(stop));
+        EXPECT_EQ(decoded.reason, EndReason::Failed);
+        EXPECT_FALSE(decoded.checkpoint);
+        EXPECT_TRUE(std::get<Stop>(roundTrip(Stop {})).checkpoint);
+        Start start;
+        start.spec.resources.memoryMib = 5;
+        EXPECT_EQ(std::get<Start>(roundTrip(start)).spec, start.spec);
+        EXPECT_LT(encodeFrame(AttemptEndedAck {}).size(), 40U);
+    }
+
     // Guards against stack exhaustion by a hostile frame.
     TEST_F(CodecTest, codec_deepNesting_isRejected)
     {
