Report progress every 30 s and ends to the owner first

Cause: agents listed every running task again in each keepalive, as its progress had changed, and sent checkpoints and ends to all entries. Change: a report of mere progress is due every 30 s; checkpoints and the first report of an end go to the entry that sent the last lease, repeats to all. The part for several entries was not measured.

--- a/src/coordination/EndReports.h
+++ b/src/coordination/EndReports.h
@@ -7,6 +7,12 @@
 
 namespace hemlocklead {
 
+/// A report of an attempt's end that is due.
+struct DueReport {
+    AttemptKey key;
+    bool isFirst { false };
+};
+
 /// When to report the end of an attempt again: after 1 s, then after twice as long each time, up to 8 s, so that a long
 /// outage of the log does not fill the links.
 class EndReports {
@@ -16,13 +22,15 @@
 
     void remove(const AttemptKey& key) { m_reports.erase(key); }
 
-    /// Attempts whose report is due now; their next one is scheduled.
-    std::vector<AttemptKey> takeDue(Instant now);
+    /// Reports that are due now; the next one of each is scheduled.
+    std::vector<DueReport> takeDue(Instant now);
 
 private:
+    static constexpr Duration shortestInterval { 1000 };
+
     struct Report {
         Instant due;
-        Duration interval { 1000 };
+        Duration interval { shortestInterval };
     };
 
     std::map<AttemptKey, Report> m_reports;
--- a/src/coordination/HeldAttempt.h
+++ b/src/coordination/HeldAttempt.h
@@ -46,6 +46,7 @@
 struct HeldAttempt {
     AttemptKey key;
     uint32_t shard { 0 };
+    std::optional<size_t> owner; ///< Entry that sent its last lease, while it is connected.
     TaskSpec spec;
     AttemptStage stage { AttemptStage::Starting };
     std::optional<Instant> leaseEnd; ///< Empty for a task found on the worker, until an owner renews it.
--- a/src/coordination/TaskAgent.cpp
+++ b/src/coordination/TaskAgent.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+    /// Between two reports of an attempt's progress. Progress only ranks attempts for eviction, and a report in each
+    /// keepalive would take most of the control traffic of an entry.
+    constexpr Duration progressInterval { 30'000 };
+
     std::string refusalName(std::optional<ErrorKind> refusal)
     {
         return refusal ? std::string(errorName(*refusal)) : std::string();
@@ -46,9 +50,11 @@
     for (auto& [key, attempt] : m_table.attempts())
         m_runner.tick(attempt);
     m_monitor.tick();
-    for (const AttemptKey& key : m_reports.takeDue(now)) {
-        if (const HeldAttempt* attempt = m_table.find(key))
-            m_send({}, endedMessage(*attempt));
+    for (const DueReport& report : m_reports.takeDue(now)) {
+        const HeldAttempt* attempt = m_table.find(report.key);
+        // The shard may have moved, so a repeated report goes to every entry.
+        if (attempt)
+            m_send(report.isFirst ? attempt->owner : std::nullopt, endedMessage(*attempt));
     }
     m_table.forget(now);
     m_counters.set("attempts_held", static_cast<int64_t>(m_table.attempts().size()));
@@ -113,7 +119,9 @@
     m_ledger.commit(message.key.taskId(), m_clock.now());
     m_starters[message.key].insert(entry);
     LogEvent(LogLevel::Debug, "task_start").field("task", message.key.taskId()).field("trace", message.traceparent);
-    m_runner.start(m_table.begin(message));
+    HeldAttempt& attempt = m_table.begin(message);
+    attempt.owner = entry;
+    m_runner.start(attempt);
 }
 
 void TaskAgent::answerRefused(size_t entry, const Start& message, ErrorKind refusal)
@@ -130,12 +138,14 @@
     replyStarted(entry, message.key, message.shard, refusal);
 }
 
-void TaskAgent::handle(size_t, const Renew& message)
+void TaskAgent::handle(size_t entry, const Renew& message)
 {
     if (!isCurrentEpoch(message.shard, message.epoch))
         return;
     for (const AttemptKey& key : message.keys) {
-        if (!m_table.renew(key, message.echo, message.lease, m_clock.now()))
+        if (m_table.renew(key, message.echo, message.lease, m_clock.now()))
+            m_table.find(key)->owner = entry;
+        else
             m_counters.add("renewals_refused");
     }
 }
@@ -207,7 +217,7 @@
 
 void TaskAgent::attemptCheckpointed(const HeldAttempt& attempt)
 {
-    m_send({}, Checkpointed { attempt.shard, attempt.key, attempt.token, attempt.checkpointProgress });
+    m_send(attempt.owner, Checkpointed { attempt.shard, attempt.key, attempt.token, attempt.checkpointProgress });
 }
 
 void TaskAgent::listWanted() { m_monitor.pollSoon(); }
@@ -259,6 +269,10 @@
     m_told.erase(entry);
     for (auto& [key, entries] : m_starters)
         entries.erase(entry);
+    for (auto& [key, attempt] : m_table.attempts()) {
+        if (attempt.owner == entry)
+            attempt.owner.reset();
+    }
 }
 
 void TaskAgent::fillKeepalive(size_t entry, Keepalive& keepalive)
@@ -278,15 +292,22 @@
     fillInterference(told, keepalive);
 }
 
+bool TaskAgent::isReportDue(const ToldProgress& told, const ToldProgress& current)
+{
+    if (told.progress == current.progress && told.checkpointProgress == current.checkpointProgress)
+        return false;
+    return current.toldAt - told.toldAt >= progressInterval;
+}
+
 void TaskAgent::fillAttempts(ToldEntry& told, Keepalive& keepalive) const
 {
     for (const auto& [key, attempt] : m_table.attempts()) {
         // An end that is not acknowledged stays listed, so that its report arrives before a conclusion from the list.
         if (attempt.refusal || (attempt.stage == AttemptStage::Ended && attempt.acknowledged))
             continue;
-        const ToldProgress current { attempt.progress, attempt.checkpointProgress };
+        const ToldProgress current { attempt.progress, attempt.checkpointProgress, m_clock.now() };
         const auto known = told.attempts.find(key);
-        if (known != told.attempts.end() && known->second == current)
+        if (known != told.attempts.end() && !isReportDue(known->second, current))
             continue;
         told.attempts.insert_or_assign(key, current);
         TaskSpec spec = attempt.spec;
--- a/src/coordination/TaskAgent.h
+++ b/src/coordination/TaskAgent.h
@@ -55,8 +55,7 @@
     struct ToldProgress {
         int64_t progress { 0 };
         int64_t checkpointProgress { 0 };
-
-        bool operator==(const ToldProgress&) const = default;
+        Instant toldAt;
     };
 
     /// What an entry was told in keepalives.
@@ -85,6 +84,7 @@
     void replyStarted(size_t entry, const AttemptKey& key, uint32_t shard, std::optional<ErrorKind> refusal);
     void protectServices();
     void stopAll();
+    static bool isReportDue(const ToldProgress& told, const ToldProgress& current);
     void fillAttempts(ToldEntry& told, Keepalive& keepalive) const;
     void fillInterference(ToldEntry& told, Keepalive& keepalive) const;
 
