Poll shard streams five times per authority

Cause: an entry read each shard's tail every 250 ms, though a read confirms its ownership for 5 s. Change: the interval is a fifth of shard_authority, 1 s by default.

--- a/src/entry/ShardLog.cpp
+++ b/src/entry/ShardLog.cpp
@@ -9,11 +9,15 @@
     // Between two claims that lost or were not stored.
     constexpr Duration claimRetryDelay { 500 };
 
+    // Polls within the time for which a read confirms ownership: enough to outlast a few lost answers.
+    constexpr int pollsPerAuthority = 5;
+
     LogStream::Settings streamSettings(uint32_t shard, const EntrySettings& settings)
     {
         LogStream::Settings stream;
         stream.name = "shard-" + std::to_string(shard);
         stream.groupCommit = settings.groupCommit;
+        stream.pollInterval = settings.shardAuthority / pollsPerAuthority;
         return stream;
     }
 
