Check single runs under pauses, kills and a lost log

Cause: invariant 2 of the design was checked with simulated processes only. SingleRunTest pauses the owner past its authority and an agent past its lease, kills and restarts an agent, takes the log down past all leases, and kills the owner right after a data centre was taken out.

--- /dev/null
+++ b/tests/system/SingleRunTest.cpp
@@ -0,0 +1,146 @@
+// One running attempt per task (design section 5), among real processes that pause, die and lose the log.
+#include "support/RunJournal.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+#include <thread>
+
+namespace hemlocklead {
+namespace {
+
+    // Of SiteOptions::shortLeases(): D, L, and the margin.
+    constexpr Duration authority { 2000 };
+    constexpr Duration lease { 6000 };
+    constexpr Duration margin { 500 };
+
+    constexpr Duration startLimit { 15'000 };
+    constexpr Duration endLimit { 30'000 };
+    constexpr int watches = 6;
+    constexpr int batchTasks = 9;
+
+    /// Longer than a worker lease, so that a worker whose agent is paused never finishes a task that the agent cannot
+    /// report: such a task would be run again by design.
+    constexpr const char* batchPayload = R"({"runMs": 4000, "result": "done"})";
+
+    SiteOptions oneShard()
+    {
+        SiteOptions options = SiteOptions::shortLeases();
+        options.entrySettings += "shards = 1\n";
+        return options;
+    }
+
+    class SingleRunTest : public testing::Test {
+    protected:
+        void SetUp() override
+        {
+            ASSERT_TRUE(m_site.start()) << m_site.runner().logs();
+            ASSERT_EQ(m_site.publish("watch", "standing watch"), 200);
+            ASSERT_EQ(m_site.publish("compile", "can-wait"), 200);
+            m_watch = m_site.submit(0, "watch", watches, "{}");
+            ASSERT_TRUE(waitUntil([&] { return running(m_watch) == watches; }, startLimit));
+            m_batch = m_site.submit(0, "compile", batchTasks, batchPayload);
+            ASSERT_TRUE(waitUntil([&] { return running(m_batch) == batchTasks; }, startLimit));
+        }
+
+        void TearDown() override
+        {
+            if (HasFailure())
+                std::cerr << describe(taskRuns(m_site)) << m_site.runner().logs();
+        }
+
+        int running(const std::string& job) const
+        {
+            return static_cast<int>(runningTasks(taskRuns(m_site), job).size());
+        }
+
+        /// Index of the entry that owns the only shard.
+        size_t owner() const
+        {
+            for (size_t entry = 0; entry < 2; ++entry) {
+                const Json status = m_site.get(entry, "/status");
+                if (status.is_object() && status["jobs"]["shards"].size() == 1
+                    && status["jobs"]["shards"][0].value("owned", false))
+                    return entry;
+            }
+            ADD_FAILURE() << "no entry owns the shard";
+            return 0;
+        }
+
+        /// Waits until the batch has finished and the watches run, then checks all journals.
+        void checkRuns(size_t entry)
+        {
+            const auto settled = [&] {
+                const Json job = m_site.get(entry, "/jobs/" + m_batch);
+                return job.is_object() && job.value("phase", "") == "finished" && running(m_watch) == watches;
+            };
+            EXPECT_TRUE(waitUntil(settled, endLimit)) << jsonText(m_site.get(entry, "/status")["jobs"]);
+            const std::vector<TaskRun> runs = taskRuns(m_site);
+            EXPECT_EQ(overlaps(runs), "");
+            const std::map<std::string, int> counts = finishes(runs, m_batch);
+            EXPECT_EQ(counts.size(), batchTasks);
+            for (const auto& [task, count] : counts)
+                EXPECT_EQ(count, 1) << task;
+        }
+
+        TestSite m_site { 2, 3, oneShard() };
+        std::string m_watch;
+        std::string m_batch;
+    };
+
+    // Guards against a paused owner that goes on with an authority that another entry has claimed.
+    TEST_F(SingleRunTest, owner_pausedPastAuthority_noTaskRunsTwice)
+    {
+        const size_t paused = owner();
+        m_site.pause(m_site.entries()[paused].pid);
+        std::this_thread::sleep_for(2 * authority);
+        m_site.resume(m_site.entries()[paused].pid);
+        checkRuns(1 - paused);
+    }
+
+    // Guards against an agent that after a restart forgets or repeats what its worker runs.
+    TEST_F(SingleRunTest, agent_killedAndRestarted_noTaskRunsTwice)
+    {
+        m_site.kill(m_site.hosts()[1].agentPid);
+        m_site.startAgent(1);
+        checkRuns(0);
+    }
+
+    // Guards against an agent that wakes after its lease and goes on with tasks that were assigned elsewhere.
+    TEST_F(SingleRunTest, agent_pausedPastLease_noTaskRunsTwice)
+    {
+        m_site.pause(m_site.hosts()[1].agentPid);
+        // The wake falls into the time in which the owner assigns the tasks elsewhere.
+        std::this_thread::sleep_for(lease + 2 * margin);
+        m_site.resume(m_site.hosts()[1].agentPid);
+        checkRuns(0);
+    }
+
+    // Guards against tasks that outlive their lease without a log, and against ends that are lost with it.
+    TEST_F(SingleRunTest, log_downPastLeases_noTaskRunsTwice)
+    {
+        ASSERT_TRUE(m_site.setLogFault("down"));
+        const auto stopped = [&] { return running(m_watch) == 0; };
+        EXPECT_TRUE(waitUntil(stopped, authority + lease + margin)) << "watches outlive their lease";
+        ASSERT_TRUE(m_site.setLogFault("none"));
+        checkRuns(0);
+    }
+
+    // Guards against an eviction that is forgotten or done twice when its owner dies.
+    TEST_F(SingleRunTest, owner_killedAfterEvictionRequest_noTaskRunsTwice)
+    {
+        const size_t killed = owner();
+        const auto response = m_site.send(killed, "PUT", "/datacentres/dc1", { { "state", "out" }, { "by", "test" } });
+        ASSERT_TRUE(response && response->status == 200);
+        m_site.kill(m_site.entries()[killed].pid);
+        m_site.startEntry(killed);
+        checkRuns(1 - killed);
+        const std::vector<TaskRun> runs = taskRuns(m_site);
+        EXPECT_TRUE(std::ranges::none_of(runs, [](const TaskRun& run) {
+            return run.host == 1 && run.to == stillRunning;
+        })) << "a watch still runs in dc1";
+    }
+
+} // namespace
+} // namespace hemlocklead
