Check planned stops under a steady load

Cause: invariants 8 and 9 had one test with one request at a time. DrainTest stops an entry, an agent and a target by SIGTERM under this load, and pauses or kills a target that never withdraws.

--- /dev/null
+++ b/tests/system/DrainTest.cpp
@@ -0,0 +1,144 @@
+// Planned stops under load (design section 9), and targets that leave without a withdrawal.
+#include "support/CallLoad.h"
+#include "support/RunJournal.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace hemlocklead {
+namespace {
+
+    constexpr Duration configurationBound { 4000 };
+    constexpr Duration announcementTtl { 3000 };
+    constexpr Duration announceInterval { 1000 }; ///< Of the stand-in target.
+    constexpr Duration entryDrain { 2000 };
+    constexpr Duration exitLimit { 12'000 };
+    constexpr Duration loadTime { 1000 }; ///< Load before and after a stop.
+
+    class DrainTest : public testing::Test {
+    protected:
+        void SetUp() override
+        {
+            ASSERT_TRUE(m_site.start()) << m_site.runner().logs();
+            ASSERT_EQ(m_site.publish("lookup", "answer-now"), 200);
+            const auto inForce = [&] {
+                return std::ranges::all_of(std::vector<size_t> { 0, 1 }, [&](size_t entry) {
+                    const auto response = m_site.send(entry, "GET", "/call/lookup/x");
+                    return response && response->status == 200;
+                });
+            };
+            ASSERT_TRUE(waitUntil(inForce, configurationBound));
+        }
+
+        void TearDown() override
+        {
+            if (HasFailure())
+                std::cerr << m_site.runner().logs();
+        }
+
+        /// Requests that started on host 1 and were sent later than `time`.
+        std::string lateOnHost1(const std::vector<CallRecord>& records, int64_t time)
+        {
+            std::string late;
+            for (const TargetEvent& event : targetEvents(m_site, 1)) {
+                for (const CallRecord& record : records) {
+                    if (event.isStart && record.testId == event.testId && record.sentAt > time)
+                        late += record.describe();
+                }
+            }
+            return late;
+        }
+
+        bool hasRunOnHost1() { return !targetEvents(m_site, 1).empty(); }
+
+        TestSite m_site { 2, 3 };
+    };
+
+    std::vector<CallRecord> sentAfter(const std::vector<CallRecord>& records, int64_t time)
+    {
+        std::vector<CallRecord> later;
+        std::ranges::copy_if(
+            records, std::back_inserter(later), [&](const CallRecord& record) { return record.sentAt > time; });
+        return later;
+    }
+
+    // Guards against an entry that cuts off requests while it stops.
+    TEST_F(DrainTest, entry_stoppedUnderLoad_noRequestFails)
+    {
+        CallLoad load(m_site, "lookup");
+        std::this_thread::sleep_for(loadTime);
+        m_site.runner().signal(m_site.entries()[1].pid, SIGTERM);
+        // The load balancer sees the 503 of /health and turns away before the listener closes.
+        std::this_thread::sleep_for(entryDrain - Duration { 700 });
+        load.avoid(1);
+        EXPECT_EQ(m_site.runner().waitExit(m_site.entries()[1].pid, exitLimit), 0);
+        std::this_thread::sleep_for(loadTime);
+        EXPECT_EQ(failedCalls(load.stop()), "");
+    }
+
+    // Guards against an agent that drops requests, or reports them as failed, while it stops.
+    TEST_F(DrainTest, agent_stoppedUnderLoad_noRequestFails)
+    {
+        CallLoad load(m_site, "lookup");
+        std::this_thread::sleep_for(loadTime);
+        EXPECT_TRUE(hasRunOnHost1());
+        m_site.runner().signal(m_site.hosts()[1].agentPid, SIGTERM);
+        EXPECT_EQ(m_site.runner().waitExit(m_site.hosts()[1].agentPid, exitLimit), 0);
+        std::this_thread::sleep_for(loadTime);
+        EXPECT_EQ(failedCalls(load.stop()), "");
+    }
+
+    // Guards against requests that are cut off by a target's stop or sent to it after its withdrawal.
+    TEST_F(DrainTest, target_stoppedUnderLoad_noRequestFails)
+    {
+        CallLoad load(m_site, "lookup");
+        std::this_thread::sleep_for(loadTime);
+        EXPECT_TRUE(hasRunOnHost1());
+        m_site.runner().signal(m_site.hosts()[1].targetPid, SIGTERM);
+        EXPECT_EQ(m_site.runner().waitExit(m_site.hosts()[1].targetPid, exitLimit), 0);
+        const int64_t ended = journalNow();
+        std::this_thread::sleep_for(loadTime);
+        const std::vector<CallRecord> records = load.stop();
+        EXPECT_EQ(failedCalls(records), "");
+        EXPECT_EQ(lateOnHost1(records, ended), "");
+    }
+
+    // Guards against a target that gets requests although its announcement has expired.
+    TEST_F(DrainTest, target_pausedWithoutWithdrawal_getsNothingNewAfterExpiry)
+    {
+        CallLoad load(m_site, "lookup");
+        std::this_thread::sleep_for(loadTime);
+        EXPECT_TRUE(hasRunOnHost1());
+        m_site.pause(m_site.hosts()[1].targetPid);
+        const int64_t expired = journalNow() + (announcementTtl + announceInterval).count();
+        std::this_thread::sleep_for(announcementTtl + announceInterval + loadTime);
+        const std::vector<CallRecord> records = load.stop();
+        // The target now takes all that was sent to it in the meantime.
+        m_site.resume(m_site.hosts()[1].targetPid);
+        std::this_thread::sleep_for(loadTime);
+        EXPECT_EQ(lateOnHost1(records, expired), "");
+        const std::vector<CallRecord> later = sentAfter(records, expired);
+        EXPECT_FALSE(later.empty());
+        EXPECT_EQ(failedCalls(later), "");
+    }
+
+    // Guards against requests that go on failing after a target died without a withdrawal.
+    TEST_F(DrainTest, target_killedWithoutWithdrawal_noRequestFailsAfterExpiry)
+    {
+        CallLoad load(m_site, "lookup");
+        std::this_thread::sleep_for(loadTime);
+        EXPECT_TRUE(hasRunOnHost1());
+        m_site.kill(m_site.hosts()[1].targetPid);
+        const int64_t expired = journalNow() + (announcementTtl + announceInterval).count();
+        std::this_thread::sleep_for(announcementTtl + announceInterval + loadTime);
+        const std::vector<CallRecord> later = sentAfter(load.stop(), expired);
+        EXPECT_FALSE(later.empty());
+        EXPECT_EQ(failedCalls(later), "");
+    }
+
+} // namespace
+} // namespace hemlocklead
