Spread the tasks that one tick places

Cause: placement counted a job's open attempts per data centre and rack, but not its tasks whose reservation or assigned record is under way. Change: TaskPlacer counts the tasks under way per job and adds them to the open attempts. After, the first wave of 12 is 4, 4 and 4 (DataCentreTest.job_firstWave_spreadsOverDataCentres).

--- a/src/entry/TaskPlacer.cpp
+++ b/src/entry/TaskPlacer.cpp
@@ -32,6 +32,7 @@
 {
     ++m_generation;
     m_pending.clear();
+    m_spread.clear();
     m_shortages.clear();
 }
 
@@ -102,14 +103,15 @@
         return;
     }
     const AttemptKey key { task.job, task.index, state->tasks[task.index].lastAttempt + 1 };
-    reserve(key, job, hosts[*chosen].name);
+    reserve(key, job, hosts[*chosen]);
 }
 
-void TaskPlacer::reserve(const AttemptKey& key, const QueuedJob& job, const std::string& host)
+void TaskPlacer::reserve(const AttemptKey& key, const QueuedJob& job, const PlacementHost& chosen)
 {
     const Instant now = m_environment.clock.now();
+    const std::string host = chosen.name;
     m_queue.noteRunning(job);
-    m_pending[key] = Pending { job, host, now };
+    addPending(key, { job, host, chosen.dataCentre, chosen.rack, now });
     if (!m_environment.send(host, Reserve { m_log.shard(), key, job.resources })) {
         m_environment.hosts.avoid(host, now + avoidTime);
         giveBack(key, refusedDelay);
@@ -122,6 +124,26 @@
         shortage->second.evictionsExpire.pop_front();
 }
 
+void TaskPlacer::addPending(const AttemptKey& key, Pending pending)
+{
+    const auto [added, isNew] = m_pending.emplace(key, std::move(pending));
+    assert(isNew);
+    Spread& spread = m_spread[key.job];
+    ++spread.tasks;
+    ++spread.inDataCentre[added->second.dataCentre];
+    ++spread.inRack[added->second.rack];
+}
+
+void TaskPlacer::removePending(std::map<AttemptKey, Pending>::iterator found)
+{
+    const auto spread = m_spread.find(found->first.job);
+    --spread->second.inDataCentre[found->second.dataCentre];
+    --spread->second.inRack[found->second.rack];
+    if (--spread->second.tasks == 0)
+        m_spread.erase(spread);
+    m_pending.erase(found);
+}
+
 void TaskPlacer::noRoom(const QueuedTask& task, const QueuedJob& job, const PlacementRequest& request)
 {
     const Instant now = m_environment.clock.now();
@@ -186,7 +208,7 @@
         giveBack(key, refusedDelay);
         return;
     }
-    m_pending.erase(found);
+    removePending(found);
     m_attempts.assigned(key, host);
 }
 
@@ -194,7 +216,7 @@
 {
     const auto found = m_pending.find(key);
     const Pending pending = found->second;
-    m_pending.erase(found);
+    removePending(found);
     m_environment.hosts.settle(pending.host, key);
     m_queue.noteEnded(pending.job);
     const JobState* job = m_log.state().job(key.job);
@@ -237,6 +259,14 @@
     request.resources = job.resources;
     request.tasksInDataCentre = m_attempts.tasksInDataCentre(task.job);
     request.tasksInRack = m_attempts.tasksInRack(task.job);
+    // Tasks placed in the same tick have no open attempt yet. Without them a whole wave would go to one host.
+    const auto underWay = m_spread.find(task.job);
+    if (underWay != m_spread.end()) {
+        for (const auto& [dataCentre, count] : underWay->second.inDataCentre)
+            request.tasksInDataCentre[dataCentre] += count;
+        for (const auto& [rack, count] : underWay->second.inRack)
+            request.tasksInRack[rack] += count;
+    }
     request.interference = m_environment.hosts.interferenceOf(job.name);
     if (state.failures > 0 && fitsElsewhere(job.resources, state.lastHost))
         request.avoidedHost = state.lastHost;
--- a/src/entry/TaskPlacer.h
+++ b/src/entry/TaskPlacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/JobQueue.h"
+#include "coordination/Placement.h"
 #include "entry/AttemptTracker.h"
 
 #include <deque>
@@ -33,9 +34,17 @@
     struct Pending {
         QueuedJob job;
         std::string host;
+        std::string dataCentre;
+        std::string rack;
         Instant sentAt;
         bool appending { false };
     };
+    /// Tasks of a job that are under way.
+    struct Spread {
+        std::map<std::string, int> inDataCentre;
+        std::map<std::string, int> inRack;
+        size_t tasks { 0 };
+    };
     /// Urgent job that finds no room.
     struct Shortage {
         Instant nextEviction;
@@ -44,7 +53,9 @@
     };
 
     void place(const QueuedTask& task);
-    void reserve(const AttemptKey& key, const QueuedJob& job, const std::string& host);
+    void reserve(const AttemptKey& key, const QueuedJob& job, const PlacementHost& chosen);
+    void addPending(const AttemptKey& key, Pending pending);
+    void removePending(std::map<AttemptKey, Pending>::iterator found);
     void noRoom(const QueuedTask& task, const QueuedJob& job, const PlacementRequest& request);
     void evictFor(const QueuedJob& job, const PlacementRequest& request);
     void evict(const EvictionCandidate& candidate);
@@ -62,6 +73,7 @@
     JobQueue& m_queue;
     AttemptTracker& m_attempts;
     std::map<AttemptKey, Pending> m_pending;
+    std::map<std::string, Spread> m_spread; ///< Of `m_pending`, by job.
     std::map<std::string, Shortage> m_shortages; ///< By job.
     uint64_t m_hostsVersion { 0 };
     uint64_t m_generation { 0 };
