--- a/tests/system/SingleRunTest.cpp
+++ b/tests/system/SingleRunTest.cpp
@@ -42,6 +42,15 @@
             ASSERT_TRUE(waitUntil([&] { return running(m_watch) == watches; }, startLimit));
             m_batch = m_site.submit(0, "compile", batchTasks, batchPayload);
             ASSERT_TRUE(waitUntil([&] { return running(m_batch) == batchTasks; }, startLimit));
+            // Otherwise a fault on host 1 would meet no task.
+            for (const std::string& job : { m_watch, m_batch })
+                ASSERT_TRUE(runsOnHost1(job)) << describe(taskRuns(m_site));
+        }
+
+        bool runsOnHost1(const std::string& job) const
+        {
+            return std::ranges::any_of(taskRuns(m_site),
+                [&](const TaskRun& run) { return run.host == 1 && run.job == job && run.to == stillRunning; });
         }
 
         void TearDown() override
