Acknowledge an end only as the owner of its shard

Cause: an entry gives each report of an ended attempt to all shards that it owns. A shard that does not know the job took the attempt for a recorded one and acknowledged it, so the agent stopped to repeat a report that the owner had not recorded. When that owner was paused then, the end was lost: 12 tasks that had finished stayed assigned and used up maxRunning. Change: AttemptTracker acknowledges only reports of its own shard. That the owner went on renewing attempts which their agent no longer held (78 renewals refused) is not explained and not changed here.

--- a/src/entry/AttemptTracker.cpp
+++ b/src/entry/AttemptTracker.cpp
@@ -384,7 +384,7 @@
     Attempt* attempt = findOn(ended.key, host);
     if (attempt)
         beginEnd(ended.key, *attempt, End { ended.reason, ended.token, ended.result, true });
-    else if (isKnownEnded(ended.key))
+    else if (ended.shard == m_log.shard() && isKnownEnded(ended.key))
         m_environment.send(host, AttemptEndedAck { ended.key });
 }
 
