Print metrics when a data centre test fails

Cause: the status alone did not show which side had lost an attempt's end. Change: DataCentreTest prints the metrics of both entries and of one agent. Conclusion: the output is the same for a test that passes.

--- a/tests/system/DataCentreTest.cpp
+++ b/tests/system/DataCentreTest.cpp
@@ -34,7 +34,14 @@
             if (HasFailure())
                 std::cerr << jsonText(m_site.get(0, "/jobs/" + m_job)) << jsonText(m_site.get(0, "/status")["jobs"])
                           << jsonText(m_site.get(1, "/status")["jobs"]) << '\n'
-                          << describe(taskRuns(m_site)) << m_site.runner().logs();
+                          << metrics(m_site.entries()[0].http) << metrics(m_site.entries()[1].http)
+                          << metrics(m_site.hosts()[0].agent) << describe(taskRuns(m_site)) << m_site.runner().logs();
+        }
+
+        static std::string metrics(const Address& address)
+        {
+            const auto response = sendHttp(address, { "GET", "/metrics", {}, {} });
+            return response ? response->body : "no metrics\n";
         }
 
         /// Starts in the data centre later than `time`.
