Report an attempt as lost when its owner renews it in vain

Cause: an agent refused a renewal for an attempt that it did not hold and only counted it. Change: a settled agent confirms such an attempt as ended, as it does for a Stop of an unknown attempt, and refuses a later Start of it.

--- a/src/coordination/TaskAgent.cpp
+++ b/src/coordination/TaskAgent.cpp
@@ -143,10 +143,14 @@
     if (!isCurrentEpoch(message.shard, message.epoch))
         return;
     for (const AttemptKey& key : message.keys) {
-        if (m_table.renew(key, message.echo, message.lease, m_clock.now()))
+        if (m_table.renew(key, message.echo, message.lease, m_clock.now())) {
             m_table.find(key)->owner = entry;
-        else
-            m_counters.add("renewals_refused");
+            continue;
+        }
+        m_counters.add("renewals_refused");
+        // An owner that renews an attempt which is not here would wait for it without end.
+        if (!m_table.find(key))
+            endUnknown(message.shard, key, EndReason::Lost);
     }
 }
 
@@ -157,19 +161,19 @@
     if (HeldAttempt* attempt = m_table.find(message.key))
         m_runner.stop(*attempt, message.reason, message.checkpoint);
     else
-        stopUnknown(message);
+        endUnknown(message.shard, message.key, message.reason);
 }
 
-void TaskAgent::stopUnknown(const Stop& message)
+void TaskAgent::endUnknown(uint32_t shard, const AttemptKey& key, EndReason reason)
 {
-    m_ledger.release(message.key.taskId());
+    m_ledger.release(key.taskId());
     if (!m_monitor.isSettled())
         return;
     // Kept as ended, so that a Start that is still on its way cannot follow the confirmed end.
-    HeldAttempt& attempt = m_table.adopt(message.key);
-    attempt.shard = message.shard;
-    m_table.end(attempt, message.reason, {}, m_clock.now());
-    m_reports.add(message.key, m_clock.now());
+    HeldAttempt& attempt = m_table.adopt(key);
+    attempt.shard = shard;
+    m_table.end(attempt, reason, {}, m_clock.now());
+    m_reports.add(key, m_clock.now());
 }
 
 void TaskAgent::handle(size_t, const AttemptEndedAck& message)
--- a/src/coordination/TaskAgent.h
+++ b/src/coordination/TaskAgent.h
@@ -75,7 +75,9 @@
     std::optional<ErrorKind> refusalOf(const Reserve& message);
     void begin(size_t entry, const Start& message);
     void answerRefused(size_t entry, const Start& message, ErrorKind refusal);
-    void stopUnknown(const Stop& message);
+
+    /// Confirms that an attempt which is not here has ended, and keeps a later Start of it from running.
+    void endUnknown(uint32_t shard, const AttemptKey& key, EndReason reason);
 
     /// Whether the sender's epoch is the highest seen of its shard. A lower one is of an entry that lost the shard.
     bool isCurrentEpoch(uint32_t shard, uint64_t epoch);
--- a/tests/unit/TaskAgentTest.cpp
+++ b/tests/unit/TaskAgentTest.cpp
@@ -186,6 +186,17 @@
         EXPECT_EQ(m_worker.starts, 0);
     }
 
+    // Guards against an owner that renews an attempt forever which its agent no longer holds.
+    TEST_F(TaskAgentTest, renew_unknownAttempt_isReportedLost)
+    {
+        renew();
+        run(Duration { 200 });
+        expectEnd(EndReason::Lost);
+        start(m_key);
+        run(Duration { 1000 });
+        EXPECT_EQ(m_worker.starts, 0);
+    }
+
     // Guards against a task that runs on, or loses its work, when its owner falls silent.
     TEST_F(TaskAgentTest, lease_notRenewed_checkpointsAndStopsBeforeItsEnd)
     {
