--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -154,6 +154,7 @@
             for (int i = 0; i < teams * tasksPerTeam / 4; ++i)
                 queue.noteRunning(*queue.job(queue.next(Instant {})->job));
             std::vector<double> shares;
+            shares.reserve(teams);
             for (int team = 0; team < teams; ++team)
                 shares.push_back(queue.dominantShare("team" + std::to_string(team)));
             fairness = std::ranges::min(shares) / std::ranges::max(shares);
