Copy the token before the model agent forgets its task

Cause: ModelAgent::end took references into the map entry that it erased first, so the address sanitizer stopped 11 tests of the job side and the model's tokens after a Stop were read from freed memory. Change: the report is made before the entry is erased. No check was changed. Conclusion: a fault of the test model; the product code is as it was.

--- a/tests/support/ModelAgent.h
+++ b/tests/support/ModelAgent.h
@@ -234,10 +234,11 @@
 
     void end(const AttemptKey& key, EndReason reason, const std::string& token, const std::string& result)
     {
+        // First, because token and result may be those of the worker's task that is erased below.
+        m_ended[key] = AttemptEnded { 0, key, reason, token, result };
         m_held.erase(key);
         m_done.insert(key);
         m_worker.erase(key);
-        m_ended[key] = AttemptEnded { 0, key, reason, token, result };
     }
 
     void followWorker()
