Share the fixture of the request tests

Cause: CallTruthTest and DrainTest each had the same set-up of a site with one catalogue entry in force, and the same print of logs on failure. Change: tests/support/LookupSiteTest.h; each test keeps its number of hosts (2 and 3), its checks and its bounds. Conclusion: one place to change.

--- a/tests/system/CallTruthTest.cpp
+++ b/tests/system/CallTruthTest.cpp
@@ -1,40 +1,25 @@
 // What callers are told about their requests, against the journals of the targets (design section 8).
 #include "support/CallLoad.h"
+#include "support/LookupSiteTest.h"
 #include "support/RunJournal.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <functional>
-#include <iostream>
 #include <thread>
 
 namespace hemlocklead {
 namespace {
 
-    constexpr Duration configurationBound { 4000 };
     constexpr Duration faultTime { 3000 };
     constexpr Duration settleTime { 1000 }; ///< For requests that reach a target after their response.
 
-    class CallTruthTest : public testing::Test {
+    class CallTruthTest : public LookupSiteTest {
     protected:
-        void SetUp() override
+        CallTruthTest()
+            : LookupSiteTest(2)
         {
-            ASSERT_TRUE(m_site.start()) << m_site.runner().logs();
-            ASSERT_EQ(m_site.publish("lookup", "answer-now"), 200);
-            const auto inForce = [&] {
-                return std::ranges::all_of(std::vector<size_t> { 0, 1 }, [&](size_t entry) {
-                    const auto response = m_site.send(entry, "GET", "/call/lookup/x");
-                    return response && response->status == 200;
-                });
-            };
-            ASSERT_TRUE(waitUntil(inForce, configurationBound));
-        }
-
-        void TearDown() override
-        {
-            if (HasFailure())
-                std::cerr << m_site.runner().logs();
         }
 
         /// Runs a load, calls `begin` in the middle of it and `end` after the fault time, and checks every response.
@@ -79,8 +64,6 @@
             runWithFault([&] { EXPECT_TRUE(m_site.setTargetFault(0, mode)); },
                 [&] { EXPECT_TRUE(m_site.setTargetFault(0, "none")); });
         }
-
-        TestSite m_site { 2, 2 };
     };
 
     // Guards against requests that run twice, or are called not run, when their target dies.
--- a/tests/system/DrainTest.cpp
+++ b/tests/system/DrainTest.cpp
@@ -1,43 +1,28 @@
 // Planned stops under load (design section 9), and targets that leave without a withdrawal.
 #include "support/CallLoad.h"
+#include "support/LookupSiteTest.h"
 #include "support/RunJournal.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <csignal>
-#include <iostream>
 #include <thread>
 
 namespace hemlocklead {
 namespace {
 
-    constexpr Duration configurationBound { 4000 };
     constexpr Duration announcementTtl { 3000 };
     constexpr Duration announceInterval { 1000 }; ///< Of the stand-in target.
     constexpr Duration entryDrain { 2000 };
     constexpr Duration exitLimit { 12'000 };
     constexpr Duration loadTime { 1000 }; ///< Load before and after a stop.
 
-    class DrainTest : public testing::Test {
+    class DrainTest : public LookupSiteTest {
     protected:
-        void SetUp() override
+        DrainTest()
+            : LookupSiteTest(3)
         {
-            ASSERT_TRUE(m_site.start()) << m_site.runner().logs();
-            ASSERT_EQ(m_site.publish("lookup", "answer-now"), 200);
-            const auto inForce = [&] {
-                return std::ranges::all_of(std::vector<size_t> { 0, 1 }, [&](size_t entry) {
-                    const auto response = m_site.send(entry, "GET", "/call/lookup/x");
-                    return response && response->status == 200;
-                });
-            };
-            ASSERT_TRUE(waitUntil(inForce, configurationBound));
-        }
-
-        void TearDown() override
-        {
-            if (HasFailure())
-                std::cerr << m_site.runner().logs();
         }
 
         /// Requests that started on host 1 and were sent later than `time`.
@@ -54,8 +39,6 @@
         }
 
         bool hasRunOnHost1() { return !targetEvents(m_site, 1).empty(); }
-
-        TestSite m_site { 2, 3 };
     };
 
     std::vector<CallRecord> sentAfter(const std::vector<CallRecord>& records, int64_t time)
