--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -2,17 +2,17 @@
 # Fails when a layer includes a header of a higher one. Layers from low to high.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-layers=(base state protocol coordination transport)
+layers=(base state protocol coordination dispatch transport node)
 status=0
 for i in "${!layers[@]}"; do
-    higher=("${layers[@]:i+1}" entry agent command)
+    higher=("${layers[@]:i+1}" entry agent command platform)
     pattern="#include \"($(IFS='|'; echo "${higher[*]}"))/"
     if grep -rnE "$pattern" "src/${layers[i]}"; then
         status=1
     fi
 done
 for program in entry agent; do
-    others=(entry agent command)
+    others=(entry agent command platform)
     pattern="#include \"($(printf '%s\n' "${others[@]}" | grep -v "^$program\$" | paste -sd'|'))/"
     if grep -rnE "$pattern" "src/$program"; then
         status=1
--- a/scripts/check-tidy.sh
+++ b/scripts/check-tidy.sh
@@ -13,4 +13,4 @@
 }
 export -f check
 export headers cache build
-git ls-files -co --exclude-standard 'src/*.cpp' 'tests/*.cpp' 'bench/*.cpp' | xargs -P "${TIDY_JOBS:-8}" -I{} bash -c 'check {}'
+git ls-files -co --exclude-standard 'src/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'platform/*.cpp' | xargs -P "${TIDY_JOBS:-8}" -I{} bash -c 'check {}'
--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -4,6 +4,8 @@
 #include "command/ExitCode.h"
 #include "entry/EntryProcess.h"
 #include "entry/EntrySettings.h"
+#include "platform/Programs.h"
+#include "platform/Settings.h"
 #include "transport/SettingsReader.h"
 
 #include <iostream>
@@ -18,6 +20,8 @@
 Processes:
   entry --config FILE         run an entry
   agent --config FILE         run an agent
+  platform-entry --config FILE   run an entry on the users' platform
+  platform-agent --config FILE   run an agent on the users' platform
   check-config FILE...        check settings files
 
 Operators:
@@ -43,8 +47,12 @@
         BOOST_LEAF_AUTO(role, settingsRole(file));
         if (role == "entry")
             BOOST_LEAF_CHECK(parseEntrySettings(file));
-        else
+        else if (role == "agent")
             BOOST_LEAF_CHECK(parseAgentSettings(file));
+        else if (role == "platform_entry")
+            BOOST_LEAF_CHECK(platform::parseEntrySettings(file));
+        else
+            BOOST_LEAF_CHECK(platform::parseAgentSettings(file));
         return file + ": settings of an " + role + ", no errors";
     }
 
@@ -90,6 +98,10 @@
             return runProcess(rest, &runEntry);
         if (command == "agent")
             return runProcess(rest, &runAgent);
+        if (command == "platform-entry")
+            return runProcess(rest, &platform::runEntry);
+        if (command == "platform-agent")
+            return runProcess(rest, &platform::runAgent);
         if (command == "check-config")
             return checkConfig(rest);
         if (isOperatorCommand(command))
--- a/src/base/Clock.h
+++ b/src/base/Clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace hemlocklead {
 
@@ -30,6 +31,20 @@
     }
 };
 
+/// Clock of a process on a host that may be suspended: it counts the time of the suspension, which the steady clock
+/// does not, so leases that ended meanwhile are seen to have ended.
+class BootClock final : public Clock {
+public:
+    Instant now() const override { return Instant(std::chrono::duration_cast<Duration>(preciseNow())); }
+    std::chrono::microseconds preciseNow() const override
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
 /// Clock that moves only when told to.
 class ManualClock final : public Clock {
 public:
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -5,7 +5,12 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
 #include <cstdio>
+#include <utility>
 
 namespace hemlocklead {
 
@@ -32,6 +37,39 @@
         return log4cxx::Level::getError();
     }
 
+    int logDescriptor = STDERR_FILENO;
+
+    /// Bounds the number of lines in each second and never waits for the reader.
+    class LineBudget {
+    public:
+        /// Whether a line may be written now.
+        bool take()
+        {
+            const auto now = std::chrono::steady_clock::now();
+            if (now - m_secondBegan >= std::chrono::seconds(1)) {
+                m_secondBegan = now;
+                m_lines = 0;
+            }
+            pollfd writable { logDescriptor, POLLOUT, 0 };
+            if (m_lines >= maxLinesPerSecond || poll(&writable, 1, 0) == 0) {
+                ++m_dropped;
+                return false;
+            }
+            ++m_lines;
+            return true;
+        }
+
+        /// Lines dropped since the last call.
+        uint64_t takeDropped() { return std::exchange(m_dropped, 0); }
+
+    private:
+        std::chrono::steady_clock::time_point m_secondBegan {};
+        int m_lines { 0 };
+        uint64_t m_dropped { 0 };
+    };
+
+    LineBudget lineBudget;
+
     bool needsQuotes(std::string_view value)
     {
         if (value.empty())
@@ -63,11 +101,14 @@
 
 } // namespace
 
-void configureLog(std::string_view process, LogLevel lowest)
+void configureLog(std::string_view process, LogLevel lowest, LogTarget target)
 {
+    const bool standardOutput = target == LogTarget::StandardOutput;
+    logDescriptor = standardOutput ? STDOUT_FILENO : STDERR_FILENO;
     const std::string pattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p process=" + std::string(process) + " %m%n";
     const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(pattern));
-    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
+        layout, standardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr()));
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(nativeLevel(lowest));
@@ -80,7 +121,14 @@
     m_line += event;
 }
 
-LogEvent::~LogEvent() { LOG4CXX_LOG(logger(), nativeLevel(m_level), m_line); }
+LogEvent::~LogEvent()
+{
+    if (!logger()->isEnabledFor(nativeLevel(m_level)) || !lineBudget.take())
+        return;
+    if (const uint64_t dropped = lineBudget.takeDropped(); dropped > 0)
+        m_line += " dropped_lines=" + std::to_string(dropped);
+    LOG4CXX_LOG(logger(), nativeLevel(m_level), m_line);
+}
 
 LogEvent& LogEvent::field(std::string_view key, std::string_view value)
 {
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -8,8 +8,16 @@
 
 enum class LogLevel : uint8_t { Debug, Info, Warning, Error };
 
-/// Sends log lines to standard error through log4cxx. `process` names the process in each line.
-void configureLog(std::string_view process, LogLevel lowest);
+enum class LogTarget : uint8_t { StandardError, StandardOutput };
+
+/// Sends log lines to `target` through log4cxx. `process` names the process in each line.
+///
+/// At most `maxLinesPerSecond` lines are written; the others are dropped and counted in a line of their own. A line is
+/// also dropped when the reader of the target is so far behind that writing would block.
+void configureLog(std::string_view process, LogLevel lowest, LogTarget target = LogTarget::StandardError);
+
+/// Bounds the processor time and the volume of logs under load.
+constexpr int maxLinesPerSecond = 2000;
 
 /// One log line of key=value pairs; written when the object goes out of scope.
 ///
--- /dev/null
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -0,0 +1,124 @@
+#include "base/Log.h"
+#include "dispatch/Dispatcher.h"
+
+#include <algorithm>
+
+namespace hemlocklead::dispatch {
+
+void Dispatcher::place()
+{
+    // Urgent queues first, then jobs by their age.
+    std::vector<Job*> jobs;
+    for (const std::string& id : m_open) {
+        if (Job* job = m_book.find(id))
+            jobs.push_back(job);
+    }
+    std::ranges::sort(jobs, [](const Job* a, const Job* b) {
+        return std::pair(a->terms().priority, a->offset()) < std::pair(b->terms().priority, b->offset());
+    });
+    const Instant now = m_clock.now();
+    const PlacementView view { m_hosts.hosts(), m_closedDataCentres,
+        [&](const std::string& host) { return m_ejector.isEjected(host, now); }, now, m_settings.maxReportAge };
+    for (Job* job : jobs)
+        placeJob(*job, view);
+}
+
+void Dispatcher::placeJob(Job& job, const PlacementView& view)
+{
+    openDueOccurrences(job);
+    for (auto& [number, occurrence] : job.occurrences()) {
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].waiting() > 0 && isStepReady(job, occurrence, step))
+                placeStep(job, number, step, view);
+        }
+    }
+}
+
+void Dispatcher::openDueOccurrences(Job& job)
+{
+    const JobSpec& spec = job.spec();
+    if (spec.repeats == 0) {
+        job.occurrence(0);
+        return;
+    }
+    const int64_t nowMs = m_calendar.unixMs();
+    for (auto number = static_cast<uint32_t>(job.occurrences().size()); number < spec.repeats; ++number) {
+        if (nowMs < spec.firstDueMs + static_cast<int64_t>(number) * spec.intervalMs)
+            return;
+        job.occurrence(number);
+    }
+}
+
+bool Dispatcher::isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const
+{
+    return std::ranges::all_of(
+        job.spec().steps[step].after, [&](uint32_t earlier) { return occurrence.steps[earlier].isDone(); });
+}
+
+PlacementNeeds Dispatcher::needsOf(const Job& job, const StepState& state, const StepSpec& spec)
+{
+    PlacementNeeds needs;
+    needs.service = job.terms().service;
+    if (spec.maxPerHost == 0 && !spec.sameRack)
+        return needs;
+    for (const TaskState& task : state.tasks) {
+        if (task.phase != TaskPhase::Placed)
+            continue;
+        ++needs.tasksByHost[task.host];
+        if (const HostView* host = m_hosts.find(task.host); host && spec.sameRack)
+            needs.rack = host->last.rack;
+    }
+    return needs;
+}
+
+void Dispatcher::placeStep(Job& job, uint32_t occurrence, uint32_t step, const PlacementView& view)
+{
+    const StepSpec& spec = job.spec().steps[step];
+    StepState& state = job.occurrence(occurrence).steps[step];
+    PlacementNeeds needs = needsOf(job, state, spec);
+    const bool starved = state.placed == 0 && view.now - job.lastEventAt() >= m_settings.fillPatience;
+    std::string placed;
+    for (uint32_t index = 0; index < state.tasks.size(); ++index) {
+        TaskState& task = state.tasks[index];
+        if (task.phase != TaskPhase::Waiting || view.now < task.notBefore)
+            continue;
+        needs.avoidHost = task.host;
+        const HostView* host = chooseHost(spec, needs, view, starved);
+        if (!host)
+            break;
+        ++needs.tasksByHost[host->name];
+        startTask(job, { job.id(), occurrence, step, index }, task, *host);
+        placed += (placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
+    }
+    if (placed.empty())
+        return;
+    LogEvent(LogLevel::Info, "tasks_placed")
+        .field("job", job.id())
+        .field("occurrence", occurrence)
+        .field("step", step)
+        .field("priority", job.terms().priority)
+        .field("waited_ms", static_cast<int64_t>((view.now - job.lastEventAt()).count()))
+        .field("waiting", state.waiting())
+        .field("hosts", placed);
+}
+
+void Dispatcher::startTask(Job& job, const TaskId& id, TaskState& task, const HostView& chosen)
+{
+    HostView& host = m_hosts.host(chosen.name);
+    const Instant now = m_clock.now();
+    ++task.attempt;
+    task.host = host.name;
+    task.life = host.last.life;
+    task.placedAt = now;
+    task.percent = 0;
+    job.setTaskPhase(id, TaskPhase::Placed);
+    if (!job.hasBegun())
+        job.setPhase(JobPhase::Running);
+    m_hosts.add(host, id, task.attempt, job.spec().steps[id.step], HostRun::Stage::Recording);
+    m_starts.push_back({ host.name, id, task.attempt });
+    m_ejector.notePlaced(host.name, now);
+    m_counters.add("starts");
+    markDirty(job);
+}
+
+} // namespace hemlocklead::dispatch
--- /dev/null
+++ b/src/dispatch/HostBook.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "dispatch/JobSpec.h"
+#include "protocol/DispatchMessages.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hemlocklead::dispatch {
+
+/// One run on a host as the owner accounts for it.
+struct HostRun {
+    enum class Stage : uint8_t {
+        Recording, ///< To be recorded with the next commit; no order was sent.
+        Committing, ///< Its record is on the way to the store; no order was sent.
+        Ordered, ///< Ordered on the present connection.
+        Adopted, ///< Ordered earlier, on another connection or by another owner.
+    };
+
+    TaskId task;
+    uint32_t attempt { 0 };
+    Stage stage { Stage::Adopted };
+    uint64_t sequence { 0 }; ///< Of the order on the present connection.
+    Resources reserved; ///< Without processors for a task that fills.
+    int64_t usageMilli { 0 }; ///< Expected processor use.
+    bool fills { false };
+    bool lasting { false };
+    std::string image;
+    bool seen { false }; ///< The worker has listed it.
+    bool stopping { false };
+    Instant stopSentAt {};
+};
+
+/// A worker host as the owner sees it.
+struct HostView {
+    std::string name;
+    bool connected { false };
+    bool reported { false }; ///< A report has come over the present connection.
+    Instant reportedAt {};
+    Instant leaseEnd {}; ///< Every lease on the host's worker has ended after this.
+    HostReport last; ///< The last report, without its lists.
+    Resources reserved;
+    int64_t usageMilli { 0 };
+    uint64_t endsApplied { 0 }; ///< Of the present life.
+    uint64_t endsDurable { 0 };
+    uint64_t nextSequence { 1 };
+    std::map<std::string, HostRun> runs; ///< By the text of the task's id.
+    HostOrders outbox; ///< Orders for the next message.
+    Instant orderedAt {}; ///< When the last message was sent.
+
+    Resources free() const { return last.capacity - reserved; }
+
+    /// Processor time that the running tasks are expected to leave, thousandths of a core.
+    int64_t leftoverMilli() const { return last.capacity.cpuMilli - usageMilli; }
+
+    bool outboxIsEmpty() const
+    {
+        return outbox.starts.empty() && outbox.stops.empty() && outbox.known.empty()
+            && outbox.acknowledgedEnds >= endsDurable;
+    }
+};
+
+/// The hosts and the resources that runs take on them.
+class HostBook {
+public:
+    /// Share of its declared processors that a lasting task uses on average. Owners declare the peak.
+    static constexpr double lastingUsage = 0.5;
+
+    HostView& host(const std::string& name);
+    HostView* find(const std::string& name);
+    std::map<std::string, HostView>& hosts() { return m_hosts; }
+    const std::map<std::string, HostView>& hosts() const { return m_hosts; }
+    void clear() { m_hosts.clear(); }
+
+    /// Accounts for a run of a task of `step`; replaces one of the same task.
+    HostRun& add(HostView& host, const TaskId& task, uint32_t attempt, const StepSpec& step, HostRun::Stage stage);
+
+    /// Frees what the run took.
+    void remove(HostView& host, const std::string& task);
+
+private:
+    std::map<std::string, HostView> m_hosts;
+};
+
+} // namespace hemlocklead::dispatch
--- /dev/null
+++ b/src/dispatch/HostChooser.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "dispatch/HostBook.h"
+
+#include <functional>
+#include <set>
+
+namespace hemlocklead::dispatch {
+
+/// What a task needs of a host, beside its step's resources.
+struct PlacementNeeds {
+    std::string service;
+    std::string avoidHost; ///< Host of the task's last run; used only when no other will do.
+    std::map<std::string, uint32_t> tasksByHost; ///< Tasks of the same step and occurrence that are placed.
+    std::string rack; ///< Rack of the step's other tasks, for a step that wants one rack.
+};
+
+/// What the owner knows of the hosts at the time of a placement.
+struct PlacementView {
+    const std::map<std::string, HostView>& hosts;
+    const std::set<std::string>& closedDataCentres;
+    std::function<bool(const std::string& host)> isEjected;
+    Instant now;
+    Duration maxReportAge;
+};
+
+/// Whether the host may get new runs at all.
+bool isUsable(const HostView& host, const PlacementView& view);
+
+/// Chooses the host for one task, or null when none has room.
+///
+/// Tasks with reserved processors go where they leave the smallest hole, so that large holes stay for large tasks.
+/// Tasks that fill go where the other tasks leave most processor time; they wait while no host leaves enough, unless
+/// `overcommit` is set.
+const HostView* chooseHost(
+    const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, bool overcommit);
+
+/// Whether the step's tasks could run on some known host if it were empty.
+bool isPlaceable(const StepSpec& step, const std::string& service, const std::map<std::string, HostView>& hosts);
+
+} // namespace hemlocklead::dispatch
--- /dev/null
+++ b/src/dispatch/JobBook.cpp
@@ -0,0 +1,205 @@
+#include "dispatch/JobBook.h"
+
+#include "base/Log.h"
+
+namespace hemlocklead::dispatch {
+
+namespace {
+
+    constexpr std::string_view jobPrefix = "job/";
+    constexpr std::string_view statePrefix = "state/";
+    constexpr std::string_view cancelPrefix = "cancel/";
+    constexpr std::string_view hostPrefix = "host/";
+    constexpr std::string_view entryPrefix = "entry/";
+
+} // namespace
+
+std::string jobKey(const std::string& id) { return std::string(jobPrefix) + id; }
+std::string stateKey(const std::string& id) { return std::string(statePrefix) + id; }
+std::string cancelKey(const std::string& id) { return std::string(cancelPrefix) + id; }
+std::string hostKey(const std::string& host) { return std::string(hostPrefix) + host; }
+std::string entryKey(const std::string& entry) { return std::string(entryPrefix) + entry; }
+
+std::string jobValue(const QueueTerms& terms, const JobSpec& spec)
+{
+    return jsonText({ { "terms", terms }, { "spec", spec } });
+}
+
+std::string ownerValue(const OwnerRecord& owner)
+{
+    return jsonText({ { "epoch", owner.epoch }, { "entry", owner.entry }, { "incarnation", owner.incarnation },
+        { "released", owner.released } });
+}
+
+std::string hostValue(const HostMember& host)
+{
+    return jsonText({ { "address", host.address }, { "incarnation", host.incarnation } });
+}
+
+std::string entryValue(const EntryMember& entry)
+{
+    return jsonText({ { "incarnation", entry.incarnation }, { "processor_share", entry.processorShare } });
+}
+
+JobBook::JobBook(const Clock& clock, Counters& counters)
+    : m_clock(clock)
+    , m_counters(counters)
+{
+}
+
+const std::vector<JobBook::Kind>& JobBook::kinds()
+{
+    static const std::vector<Kind> kinds {
+        { jobPrefix, &JobBook::applyJob },
+        { statePrefix, &JobBook::applyState },
+        { cancelPrefix, &JobBook::applyCancel },
+        { ownerKey, &JobBook::applyOwner },
+        { hostPrefix, &JobBook::applyHost },
+        { entryPrefix, &JobBook::applyEntry },
+    };
+    return kinds;
+}
+
+void JobBook::reset()
+{
+    m_jobs.clear();
+    m_earlyStates.clear();
+    m_earlyCancels.clear();
+    m_entries.clear();
+    m_hosts.clear();
+    m_owner = {};
+    if (m_listener)
+        m_listener->bookReset();
+}
+
+void JobBook::apply(const JournalRecord& record)
+{
+    if (!record.value)
+        return applyRemoval(record.key);
+    for (const Kind& kind : kinds()) {
+        if (!record.key.starts_with(kind.prefix))
+            continue;
+        const Json value = Json::parse(*record.value, nullptr, false);
+        try {
+            if (!value.is_object())
+                throw Json::other_error::create(501, "not an object", &value);
+            (this->*kind.apply)(record.key.substr(kind.prefix.size()), record, value);
+        } catch (const Json::exception& error) {
+            m_counters.add("journal_records_skipped");
+            LogEvent(LogLevel::Warning, "journal_record_skipped")
+                .field("key", record.key)
+                .field("offset", record.offset)
+                .field("reason", error.what());
+        }
+        return;
+    }
+    m_counters.add("journal_records_skipped");
+}
+
+void JobBook::applyJob(const std::string& id, const JournalRecord& record, const Json& value)
+{
+    // A repeated hand-in of the same job changes nothing.
+    if (m_jobs.contains(id))
+        return;
+    auto spec = value.at("spec").get<JobSpec>();
+    const std::string problem = problemOf(spec);
+    if (!problem.empty())
+        throw Json::other_error::create(501, problem, &value);
+    auto job
+        = std::make_unique<Job>(id, value.at("terms").get<QueueTerms>(), std::move(spec), record.offset, m_clock.now());
+    Job& added = *m_jobs.emplace(id, std::move(job)).first->second;
+    if (const auto early = m_earlyStates.extract(id); !early.empty()) {
+        added.applyRecord(early.mapped());
+        added.publishPhase();
+    }
+    const bool cancelled = m_earlyCancels.erase(id) > 0;
+    if (m_listener)
+        m_listener->jobAccepted(added);
+    if (cancelled)
+        cancel(added);
+}
+
+void JobBook::applyState(const std::string& id, const JournalRecord&, const Json& value)
+{
+    m_ownerSeenAt = m_clock.now();
+    if (m_ownEpoch && value.value("epoch", uint64_t { 0 }) == *m_ownEpoch)
+        return;
+    Job* job = find(id);
+    if (!job) {
+        m_earlyStates.insert_or_assign(id, value);
+        return;
+    }
+    job->applyRecord(value);
+    job->publishPhase();
+}
+
+void JobBook::applyCancel(const std::string& id, const JournalRecord&, const Json&)
+{
+    if (Job* job = find(id))
+        cancel(*job);
+    else
+        m_earlyCancels.insert(id);
+}
+
+void JobBook::cancel(Job& job)
+{
+    if (job.isCancelRequested())
+        return;
+    job.requestCancel();
+    if (m_listener)
+        m_listener->cancelRequested(job);
+}
+
+void JobBook::applyOwner(const std::string&, const JournalRecord&, const Json& value)
+{
+    OwnerRecord owner { value.at("epoch").get<uint64_t>(), value.at("entry").get<std::string>(),
+        value.value("incarnation", uint64_t { 0 }), value.value("released", false) };
+    if (owner.epoch < m_owner.epoch)
+        return;
+    m_ownerSeenAt = m_clock.now();
+    m_owner = std::move(owner);
+}
+
+void JobBook::applyHost(const std::string& name, const JournalRecord&, const Json& value)
+{
+    m_hosts[name] = { value.at("address").get<std::string>(), value.value("incarnation", uint64_t { 0 }) };
+    if (m_listener)
+        m_listener->hostChanged(name);
+}
+
+void JobBook::applyEntry(const std::string& name, const JournalRecord&, const Json& value)
+{
+    m_entries[name] = { value.value("incarnation", uint64_t { 0 }), value.value("processor_share", 0.0) };
+}
+
+void JobBook::applyRemoval(const std::string& key)
+{
+    if (key.starts_with(jobPrefix))
+        m_jobs.erase(key.substr(jobPrefix.size()));
+    if (key.starts_with(hostPrefix)) {
+        const std::string name = key.substr(hostPrefix.size());
+        m_hosts.erase(name);
+        if (m_listener)
+            m_listener->hostChanged(name);
+    }
+    if (key.starts_with(entryPrefix))
+        m_entries.erase(key.substr(entryPrefix.size()));
+}
+
+Job* JobBook::find(const std::string& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+void JobBook::erase(const std::string& id) { m_jobs.erase(id); }
+
+int64_t JobBook::pending(const std::string& queue) const
+{
+    int64_t count = 0;
+    for (const auto& [id, job] : m_jobs)
+        count += job->shownPhase() == JobPhase::Queued && job->terms().queue == queue;
+    return count;
+}
+
+} // namespace hemlocklead::dispatch
--- /dev/null
+++ b/src/dispatch/JournalWriter.cpp
@@ -0,0 +1,89 @@
+#include "dispatch/JournalWriter.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace hemlocklead::dispatch {
+
+JournalWriter::JournalWriter(JournalService& journal, Delays& delays, const Clock& clock, Settings settings)
+    : m_journal(journal)
+    , m_delays(delays)
+    , m_clock(clock)
+    , m_settings(settings)
+{
+}
+
+void JournalWriter::open(uint64_t epoch, std::function<void()> onFenced)
+{
+    close();
+    m_open = true;
+    m_epoch = epoch;
+    m_sequence = 0;
+    m_onFenced = std::move(onFenced);
+}
+
+void JournalWriter::close()
+{
+    ++m_generation;
+    m_open = false;
+    m_inFlight = false;
+    m_records.clear();
+    m_onDurable = nullptr;
+}
+
+void JournalWriter::commit(std::vector<JournalRecord> records, std::function<void()> onDurable)
+{
+    assert(isIdle());
+    m_inFlight = true;
+    ++m_sequence;
+    m_pause = m_settings.retry;
+    m_records = std::move(records);
+    m_onDurable = std::move(onDurable);
+    send();
+}
+
+void JournalWriter::send()
+{
+    const Instant sentAt = m_clock.now();
+    m_journal.append(m_records, AppendFence { m_epoch, m_sequence }, m_settings.timeout,
+        [this, sentAt, generation = m_generation](AppendStatus status) {
+            if (generation == m_generation)
+                answered(status, sentAt);
+        });
+}
+
+void JournalWriter::answered(AppendStatus status, Instant sentAt)
+{
+    if (status == AppendStatus::Done) {
+        m_inFlight = false;
+        m_provenAt = sentAt;
+        m_records.clear();
+        const std::function<void()> onDurable = std::exchange(m_onDurable, nullptr);
+        return onDurable();
+    }
+    if (status == AppendStatus::Fenced || status == AppendStatus::Rejected) {
+        LogEvent(LogLevel::Warning, "append_refused")
+            .field("epoch", m_epoch)
+            .field("sequence", m_sequence)
+            .field("reason", status == AppendStatus::Fenced ? "fenced" : "rejected");
+        const std::function<void()> onFenced = std::exchange(m_onFenced, nullptr);
+        close();
+        return onFenced();
+    }
+    // The store answers a repeat of the same sequence number with the outcome of the first append, so an append whose
+    // answer was lost is simply sent again.
+    LogEvent(LogLevel::Warning, "append_unanswered")
+        .field("epoch", m_epoch)
+        .field("sequence", m_sequence)
+        .field("refused", status == AppendStatus::NotDone ? 1 : 0);
+    m_delays.after(m_pause, [this, generation = m_generation] {
+        if (generation == m_generation)
+            send();
+    });
+    m_pause = std::min(2 * m_pause, m_settings.maxRetry);
+}
+
+} // namespace hemlocklead::dispatch
--- /dev/null
+++ b/src/dispatch/RouteTable.cpp
@@ -0,0 +1,29 @@
+#include "dispatch/RouteTable.h"
+
+namespace hemlocklead::dispatch {
+
+bool RouteTable::apply(Configuration configuration)
+{
+    if (configuration.version < m_configuration.version)
+        return false;
+    m_configuration = std::move(configuration);
+    m_terms.clear();
+    for (const Route& route : m_configuration.routes)
+        m_terms.insert_or_assign(route.terms.queue, route.terms);
+    return true;
+}
+
+const Route* RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const std::string_view name = host.substr(0, host.find(':'));
+    const Route* best = nullptr;
+    for (const Route& route : m_configuration.routes) {
+        if (route.host != name || !path.starts_with(route.prefix))
+            continue;
+        if (!best || route.prefix.size() > best->prefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+} // namespace hemlocklead::dispatch
--- /dev/null
+++ b/src/node/DispatchAgent.cpp
@@ -0,0 +1,93 @@
+#include "node/DispatchAgent.h"
+
+#include "base/Log.h"
+#include "dispatch/JobBook.h"
+#include "node/DispatchEntry.h"
+
+namespace hemlocklead {
+
+namespace {
+
+    constexpr Duration announceTimeout { 1000 };
+    constexpr Duration announceRetry { 500 };
+
+} // namespace
+
+DispatchAgent::DispatchAgent(
+    EventLoop& loop, dispatch::WorkerPort& worker, dispatch::JournalService& journal, Settings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(randomIncarnation())
+    , m_delays(loop)
+    , m_journal(journal)
+    , m_agent(worker, *this, m_delays, m_clock, m_counters, m_settings.agent)
+    , m_listener(loop, [this](std::unique_ptr<FrameConnection> connection) { accepted(std::move(connection)); })
+    , m_ownerTimer(loop)
+{
+}
+
+Result<void> DispatchAgent::start()
+{
+    BOOST_LEAF_CHECK(m_listener.listen(m_settings.address));
+    m_ownerHeardAt = m_clock.now();
+    announce();
+    m_agent.start();
+    m_ownerTimer.startRepeating(m_settings.ownerSilence, [this] { checkOwner(); });
+    return {};
+}
+
+void DispatchAgent::announce()
+{
+    const std::string value = dispatch::hostValue({ m_settings.address.text(), m_incarnation });
+    m_journal.append({ { dispatch::hostKey(m_settings.host), value, 0 } }, std::nullopt, announceTimeout,
+        [this](dispatch::AppendStatus status) {
+            if (status != dispatch::AppendStatus::Done)
+                m_delays.after(announceRetry, [this] { announce(); });
+        });
+}
+
+void DispatchAgent::checkOwner()
+{
+    if (m_clock.now() - m_ownerHeardAt >= m_settings.ownerSilence) {
+        LogEvent(LogLevel::Warning, "owner_silent").field("epoch", m_agent.epochSeen());
+        announce();
+    }
+}
+
+void DispatchAgent::accepted(std::unique_ptr<FrameConnection> connection)
+{
+    const auto position = m_connections.insert(m_connections.end(), std::move(connection));
+    (*position)->setCallbacks({
+        [this, position](const Message& message) { received(position, message); },
+        [this, position] { closed(position); },
+    });
+}
+
+void DispatchAgent::received(Connections::iterator connection, const Message& message)
+{
+    const auto* orders = std::get_if<HostOrders>(&message);
+    if (!orders)
+        return;
+    if (orders->epoch < m_agent.epochSeen())
+        return closed(connection);
+    m_ownerHeardAt = m_clock.now();
+    if (m_owner != connection->get()) {
+        m_owner = connection->get();
+        m_agent.ownerConnected();
+    }
+    m_agent.ordered(*orders);
+}
+
+void DispatchAgent::closed(Connections::iterator connection)
+{
+    if (m_owner == connection->get())
+        m_owner = nullptr;
+    m_connections.erase(connection);
+}
+
+void DispatchAgent::send(const HostReport& report)
+{
+    if (m_owner)
+        m_owner->send(report);
+}
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/node/HostLinks.cpp
@@ -0,0 +1,87 @@
+#include "node/HostLinks.h"
+
+#include "base/Log.h"
+
+namespace hemlocklead {
+
+HostLinks::HostLinks(EventLoop& loop, const Clock& clock, dispatch::JobBook& book, Settings settings)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_book(book)
+    , m_settings(settings)
+{
+}
+
+void HostLinks::maintain(uint64_t epoch)
+{
+    const Instant now = m_clock.now();
+    for (const auto& [host, member] : m_book.hosts()) {
+        Link& link = m_links[host];
+        const bool moved = link.connection && link.address != member.address;
+        const bool silent = link.connection && now - link.heardAt > m_settings.silence;
+        if (moved || silent) {
+            LogEvent(LogLevel::Warning, "host_link_dropped")
+                .field("host", host)
+                .field("address", link.address)
+                .field("silent_ms", static_cast<int64_t>((now - link.heardAt).count()));
+            link.connection.reset();
+            m_dispatcher->hostDisconnected(host);
+        }
+        if (!link.connection && now - link.openedAt >= m_settings.retry)
+            open(host, member.address, link, epoch);
+    }
+}
+
+void HostLinks::open(const std::string& host, const std::string& text, Link& link, uint64_t epoch)
+{
+    link.openedAt = m_clock.now();
+    link.heardAt = link.openedAt;
+    link.address = text;
+    const Address address = orElse([&] { return parseAddress(text); },
+        [&](const Error& error) {
+            LogEvent(LogLevel::Warning, "host_address_unreadable").field("host", host).field("reason", error.message);
+            return Address();
+        });
+    if (address.port == 0)
+        return;
+    link.connection = std::make_unique<FrameConnection>(m_loop, address);
+    link.connection->setCallbacks({
+        [this, host](const Message& message) { received(host, message); },
+        [this, host] { closed(host); },
+    });
+    m_dispatcher->hostConnected(host);
+    // Tells the agent which owner connects; it answers with a report.
+    HostOrders hello;
+    hello.epoch = epoch;
+    link.connection->send(hello);
+}
+
+void HostLinks::received(const std::string& host, const Message& message)
+{
+    const auto* report = std::get_if<HostReport>(&message);
+    if (!report)
+        return;
+    Link& link = m_links[host];
+    if (link.heardAt == link.openedAt)
+        LogEvent(LogLevel::Info, "host_link_open").field("host", host).field("address", link.address);
+    link.heardAt = m_clock.now();
+    m_dispatcher->hostReported(host, *report);
+}
+
+void HostLinks::closed(const std::string& host)
+{
+    LogEvent(LogLevel::Info, "host_link_closed").field("host", host);
+    m_links[host].connection.reset();
+    m_dispatcher->hostDisconnected(host);
+}
+
+void HostLinks::closeAll() { m_links.clear(); }
+
+void HostLinks::send(const std::string& host, const HostOrders& orders)
+{
+    const auto link = m_links.find(host);
+    if (link != m_links.end() && link->second.connection)
+        link->second.connection->send(orders);
+}
+
+} // namespace hemlocklead
--- /dev/null
+++ b/src/node/HostLinks.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "dispatch/Dispatcher.h"
+#include "transport/FrameConnection.h"
+
+#include <map>
+#include <memory>
+
+namespace hemlocklead {
+
+/// The owner's connections to the agents of all hosts in the journal.
+class HostLinks final : public dispatch::HostSender {
+public:
+    struct Settings {
+        Duration silence { 2000 }; ///< A connection without a report for this long is replaced; agents report twice a
+                                   ///< second.
+        Duration retry { 300 }; ///< Pause before a closed connection is opened again.
+    };
+
+    HostLinks(EventLoop& loop, const Clock& clock, dispatch::JobBook& book, Settings settings);
+
+    void setDispatcher(dispatch::Dispatcher& dispatcher) { m_dispatcher = &dispatcher; }
+
+    /// Connects to hosts that are not connected and replaces silent connections. `epoch` is the owner's.
+    void maintain(uint64_t epoch);
+
+    void closeAll();
+
+    void send(const std::string& host, const HostOrders& orders) override;
+
+private:
+    struct Link {
+        std::unique_ptr<FrameConnection> connection;
+        std::string address;
+        Instant heardAt {};
+        Instant openedAt {};
+    };
+
+    void open(const std::string& host, const std::string& address, Link& link, uint64_t epoch);
+    void received(const std::string& host, const Message& message);
+    void closed(const std::string& host);
+
+    EventLoop& m_loop;
+    const Clock& m_clock;
+    dispatch::JobBook& m_book;
+    Settings m_settings;
+    dispatch::Dispatcher* m_dispatcher { nullptr };
+    std::map<std::string, Link> m_links;
+};
+
+} // namespace hemlocklead
--- a/src/protocol/Messages.h
+++ b/src/protocol/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "protocol/DispatchMessages.h"
 #include "state/Attempt.h"
 #include "state/ControlState.h"
 #include "state/ShardState.h"
@@ -251,6 +252,6 @@
 
 using Message = std::variant<Hello, Keepalive, KeepaliveReply, Leaving, Reserve, ReserveReply, Start, StartReply, Renew,
     Stop, AttemptEnded, AttemptEndedAck, Checkpointed, Call, CallReply, CallCancel, PeerPing, PeerPong, StateRequest,
-    StateReply, Forward, ForwardReply>;
+    StateReply, Forward, ForwardReply, HostReport, HostOrders>;
 
 } // namespace hemlocklead
--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -26,13 +26,25 @@
 void EventLoop::onTerminate(std::function<void()> handler)
 {
     m_onTerminate = std::move(handler);
-    if (!m_signals.empty())
-        return;
     const auto callback = [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->m_onTerminate(); };
-    for (const int number : { SIGTERM, SIGINT }) {
-        m_signals.push_back(evsignal_new(m_base, number, callback, this));
-        event_add(m_signals.back(), nullptr);
+    for (const int number : { SIGTERM, SIGINT })
+        watchSignal(number, callback);
+}
+
+void EventLoop::onReload(std::function<void()> handler)
+{
+    m_onReload = std::move(handler);
+    watchSignal(SIGHUP, [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->m_onReload(); });
+}
+
+void EventLoop::watchSignal(int number, void (*callback)(int, short, void*))
+{
+    for (const event* signal : m_signals) {
+        if (event_get_signal(signal) == number)
+            return;
     }
+    m_signals.push_back(evsignal_new(m_base, number, callback, this));
+    event_add(m_signals.back(), nullptr);
 }
 
 Timer::Timer(EventLoop& loop)
--- a/src/transport/EventLoop.h
+++ b/src/transport/EventLoop.h
@@ -27,11 +27,17 @@
     /// Calls `handler` in the loop at each SIGTERM or SIGINT.
     void onTerminate(std::function<void()> handler);
 
+    /// Calls `handler` in the loop at each SIGHUP, which otherwise ends the process.
+    void onReload(std::function<void()> handler);
+
     event_base* native() const { return m_base; }
 
 private:
     event_base* m_base;
+    void watchSignal(int number, void (*callback)(int, short, void*));
+
     std::function<void()> m_onTerminate;
+    std::function<void()> m_onReload;
     std::vector<event*> m_signals;
 };
 
--- a/src/transport/SettingsReader.cpp
+++ b/src/transport/SettingsReader.cpp
@@ -156,6 +156,15 @@
     return {};
 }
 
+Result<void> SettingsReader::read(std::string_view key, SettingsRange, double& out) const
+{
+    const std::optional<double> value = m_document->table->get(key)->value<double>();
+    if (!value || !(*value >= 0))
+        return failAt(key, "a number that is not negative is expected");
+    out = *value;
+    return {};
+}
+
 Result<void> SettingsReader::read(std::string_view key, SettingsRange, bool& out) const
 {
     const auto* value = m_document->table->get(key)->as_boolean();
@@ -176,10 +185,10 @@
 Result<std::string> settingsRole(const std::string& file)
 {
     BOOST_LEAF_AUTO(root, parseFile(file));
-    if (root.contains("entry"))
-        return std::string("entry");
-    if (root.contains("agent"))
-        return std::string("agent");
+    for (const char* role : { "entry", "agent", "platform_entry", "platform_agent" }) {
+        if (root.contains(role))
+            return std::string(role);
+    }
     return fail(ErrorKind::InvalidSettings, file + ":1: there is no table [entry] or [agent]");
 }
 
--- a/src/transport/SettingsReader.h
+++ b/src/transport/SettingsReader.h
@@ -22,7 +22,7 @@
 /// Where a settings key goes in T.
 template <typename T>
 using SettingsMember = std::variant<std::string T::*, Address T::*, std::vector<Address> T::*, Duration T::*,
-    uint32_t T::*, int64_t T::*, bool T::*>;
+    uint32_t T::*, int64_t T::*, double T::*, bool T::*>;
 
 /// One key of a settings table.
 template <typename T> struct SettingsField {
@@ -63,6 +63,7 @@
     Result<void> read(std::string_view key, SettingsRange range, Duration& out) const;
     Result<void> read(std::string_view key, SettingsRange range, uint32_t& out) const;
     Result<void> read(std::string_view key, SettingsRange range, int64_t& out) const;
+    Result<void> read(std::string_view key, SettingsRange range, double& out) const; ///< Not negative.
     Result<void> read(std::string_view key, SettingsRange range, bool& out) const;
 
     /// Error at `key`, or at the table when the key is not there.
@@ -74,7 +75,8 @@
     std::unique_ptr<Document> m_document;
 };
 
-/// The table of `file` that the settings file holds, `entry` or `agent`; fails with `InvalidSettings`.
+/// The table of `file` that the settings file holds: `entry`, `agent`, `platform_entry` or `platform_agent`; fails with
+/// `InvalidSettings`.
 Result<std::string> settingsRole(const std::string& file);
 
 /// Reads the table `table` of `file` into a T with its default values. Fails with `InvalidSettings`.
