List a run as pending until a look sent after its start shows it

An agent answered a new owner with the run list of a look that was older than a start it had just carried out; the owner took the run for lost and started the task again.

Change: an order stays in the pending list until a look that was sent after the worker's answer has come back. The same holds for a start that is revoked.

Conclusion: a list says nothing of orders that were answered after it was asked for.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -109,7 +109,7 @@
     const std::string key = runKey(order.task, order.attempt);
     if (m_open.contains(key))
         return;
-    m_open.emplace(key, OpenStart { order, m_connection, false });
+    m_open.emplace(key, OpenStart { order, m_connection, std::nullopt });
     m_sentUntilMs = std::max(m_sentUntilMs, m_leaseUntilMs);
     m_worker.start(order, m_leaseUntilMs, m_fence, [this, key, life = m_life](const WorkerAnswer& answer) {
         if (life == m_life)
@@ -126,11 +126,14 @@
         LogEvent(LogLevel::Warning, "start_unanswered").field("task", open->second.order.task);
         return revoke(key);
     }
-    const RunOrder order = std::move(open->second.order);
-    m_open.erase(open);
+    const RunOrder order = open->second.order;
     m_counters.add(answer.status == WorkerAnswer::Status::Done ? "worker_starts" : "worker_starts_refused");
-    if (answer.status == WorkerAnswer::Status::Refused)
+    if (answer.status == WorkerAnswer::Status::Refused) {
+        m_open.erase(open);
         return refuse(order, answer.reason);
+    }
+    // The list of runs of a look that is under way may be older than the start.
+    open->second.answeredAfter = m_looks;
     LogEvent(LogLevel::Info, "run_started").field("task", order.task).field("attempt", order.attempt);
     RunOrder known = order;
     known.payload.clear();
@@ -142,7 +145,6 @@
     const auto open = m_open.find(key);
     if (open == m_open.end())
         return;
-    open->second.revoked = true;
     // The worker refuses a late start of a run that was stopped before it came.
     const RunStop stop { open->second.order.task, open->second.order.attempt };
     m_worker.stop(stop, m_fence, [this, key, life = m_life](const WorkerAnswer& answer) {
@@ -153,10 +155,11 @@
             m_delays.after(m_settings.stopRetry, [this, key] { revoke(key); });
             return;
         }
-        const RunOrder order = std::move(found->second.order);
-        m_open.erase(found);
-        // If the run had begun, its end is on the list of the next look, and the owner learns of it there.
-        LogEvent(LogLevel::Info, "start_revoked").field("task", order.task).field("attempt", order.attempt);
+        // If the run had begun, it or its end is on the lists of the next look, and the owner learns of it there.
+        found->second.answeredAfter = m_looks;
+        LogEvent(LogLevel::Info, "start_revoked")
+            .field("task", found->second.order.task)
+            .field("attempt", found->second.order.attempt);
     });
 }
 
@@ -183,7 +186,7 @@
 {
     uint64_t settled = m_highestOrder;
     for (const auto& [key, open] : m_open) {
-        if (open.connection == m_connection)
+        if (open.connection == m_connection && !open.answeredAfter)
             settled = std::min(settled, open.order.sequence - 1);
     }
     return settled;
@@ -211,14 +214,11 @@
     look.acknowledgedEnds = m_acknowledged;
     // Ends that are not acknowledged yet would end the wait at once.
     look.wait = m_fence != 0 && m_ends.empty() ? m_settings.look : Duration { 0 };
-    const Instant sentAt = m_clock.now();
-    m_worker.look(
-        look, m_fence, [this, sentAt, connection = m_connection, settled = settledOrders()](WorkerState state) {
-            looked(std::move(state), sentAt, connection == m_connection ? settled : 0);
-        });
+    const SentLook sent { ++m_looks, m_clock.now(), m_connection, settledOrders() };
+    m_worker.look(look, m_fence, [this, sent](WorkerState state) { looked(std::move(state), sent); });
 }
 
-void HostAgent::looked(WorkerState state, Instant sentAt, uint64_t settled)
+void HostAgent::looked(WorkerState state, const SentLook& sent)
 {
     m_looking = false;
     if (state.status == WorkerState::Status::None)
@@ -241,13 +241,15 @@
     if (m_unanswered >= m_settings.looksUntilSilent)
         LogEvent(LogLevel::Info, "worker_reached").field("life", m_life);
     m_unanswered = 0;
-    noteState(state, sentAt, settled);
+    noteState(state, sent);
 }
 
-void HostAgent::noteState(WorkerState& state, Instant sentAt, uint64_t settled)
+void HostAgent::noteState(WorkerState& state, const SentLook& sent)
 {
     m_running = std::move(state.running);
-    m_settled = settled;
+    m_settled = sent.connection == m_connection ? sent.settledOrders : 0;
+    std::erase_if(m_open,
+        [&](const auto& entry) { return entry.second.answeredAfter && *entry.second.answeredAfter < sent.number; });
     m_ends.clear();
     for (RunEnd& end : state.ends) {
         if (end.number <= m_acknowledged)
@@ -256,7 +258,7 @@
         m_ends.push_back(std::move(end));
     }
     report(true);
-    const Duration elapsed = m_clock.now() - sentAt;
+    const Duration elapsed = m_clock.now() - sent.sentAt;
     const Duration pause = m_ends.empty() ? m_settings.shortestLook : m_settings.ackWait;
     scheduleLook(elapsed >= pause ? Duration { 0 } : pause - elapsed);
 }
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -59,17 +59,25 @@
     bool isDraining() const { return m_announcement.draining; }
 
 private:
-    /// An order that the worker has not yet carried out or refused for certain.
+    /// An order whose outcome the list of runs does not show yet.
     struct OpenStart {
         RunOrder order;
         uint64_t connection { 0 };
-        bool revoked { false }; ///< Unanswered, and being stopped.
+        std::optional<uint64_t> answeredAfter; ///< Number of the last look that was sent before the worker's answer.
+    };
+
+    /// What was known when a look was sent.
+    struct SentLook {
+        uint64_t number;
+        Instant sentAt;
+        uint64_t connection;
+        uint64_t settledOrders;
     };
 
     void look();
-    void looked(WorkerState state, Instant sentAt, uint64_t settled);
+    void looked(WorkerState state, const SentLook& sent);
     void scheduleLook(Duration delay);
-    void noteState(WorkerState& state, Instant sentAt, uint64_t settled);
+    void noteState(WorkerState& state, const SentLook& sent);
     void beginLife(int64_t life);
     void noAnswer();
     bool hasLapsed() const;
@@ -104,6 +112,7 @@
     uint64_t m_acknowledged { 0 };
     int m_unanswered { 0 };
     bool m_looking { false };
+    uint64_t m_looks { 0 }; ///< Looks sent.
     uint64_t m_lookTimer { 0 };
     WorkerAnnouncement m_announcement;
     std::vector<WorkerRun> m_running;
