Place filling tasks by learned harm and hold offenders before HARM

Figures show pairs of images that either disturb by 2 to 20 times or hardly.

A paced task disturbs for longer, so the total time over target did not fall.

Change: agents count looks that speak for or against a pair, the owner merges the counts and prefers hosts where few serving tasks are newly disturbed.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -110,9 +110,11 @@
     void taskFailed(Job& job, TaskState& task, const TaskId& id, HostView& host);
     void reconcile(HostView& host, const HostReport& report);
     void noteRunning(HostView& host, const RunReport& row);
+    PlacementView placementView() const;
     void runLost(HostView& host, const std::string& task, std::string_view reason);
     void loseRuns(HostView& host, std::string_view reason);
     void evacuateDraining(HostView& host);
+    void noteHarm(const HostView& from, const HarmReport& pair);
     void finishIfDone(Job& job);
     void endJob(Job& job, JobPhase phase);
     void stopRuns(Job& job);
@@ -142,6 +144,7 @@
     Counters& m_counters;
     Settings m_settings;
     HostBook m_hosts;
+    HarmTable m_harm;
     StartEjector m_ejector;
     std::set<std::string> m_closedDataCentres;
     std::map<std::string, QueueTerms> m_terms;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -16,13 +16,21 @@
     std::ranges::sort(jobs, [](const Job* a, const Job* b) {
         return std::pair(a->terms().priority, a->offset()) < std::pair(b->terms().priority, b->offset());
     });
-    const Instant now = m_clock.now();
-    const PlacementView view { m_hosts.hosts(), m_closedDataCentres,
-        [&](const std::string& host) { return m_ejector.isEjected(host, now); }, now, m_settings.maxReportAge };
+    for (auto& [name, host] : m_hosts.hosts())
+        host.refreshDisturbed(m_harm);
+    const PlacementView view = placementView();
     for (Job* job : jobs)
         placeJob(*job, view);
 }
 
+PlacementView Dispatcher::placementView() const
+{
+    const Instant now = m_clock.now();
+    return { m_hosts.hosts(), m_closedDataCentres,
+        [this, now](const std::string& host) { return m_ejector.isEjected(host, now); }, now, m_settings.maxReportAge,
+        m_harm };
+}
+
 void Dispatcher::placeJob(Job& job, const PlacementView& view)
 {
     openDueOccurrences(job);
@@ -76,7 +84,7 @@
     const StepSpec& spec = job.spec().steps[step];
     StepState& state = job.occurrence(occurrence).steps[step];
     PlacementNeeds needs = needsOf(job, state, spec);
-    const bool starved = state.placed == 0 && view.now - job.lastEventAt() >= m_settings.fillPatience;
+    const bool starved = view.now - job.lastEventAt() >= m_settings.fillPatience;
     std::string placed;
     for (uint32_t index = 0; index < state.tasks.size(); ++index) {
         TaskState& task = state.tasks[index];
@@ -115,6 +123,7 @@
     if (!job.hasBegun())
         job.setPhase(JobPhase::Running);
     m_hosts.add(host, id, task.attempt, job.spec().steps[id.step], HostRun::Stage::Recording);
+    host.refreshDisturbed(m_harm);
     m_starts.push_back({ host.name, id, task.attempt });
     m_ejector.notePlaced(host.name, now);
     m_counters.add("starts");
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -40,7 +40,10 @@
     host.last.pending.clear();
     host.last.ends.clear();
     host.last.refusals.clear();
+    host.last.harm.clear();
     host.reportedAt = m_clock.now();
+    for (const HarmReport& pair : report.harm)
+        noteHarm(host, pair);
     for (const RunEnd& end : report.ends)
         applyEnd(host, end);
     for (const RunRefusal& refusal : report.refusals)
@@ -62,6 +65,22 @@
     }
 }
 
+void Dispatcher::noteHarm(const HostView& from, const HarmReport& pair)
+{
+    // Half of what a host counted goes into the common table: several hosts report the same pair.
+    m_harm.note(pair.serving, pair.filling, pair.harmful / 2, pair.harmless / 2);
+    const HarmTable::Entry& known = m_harm.entries()[{ pair.serving, pair.filling }];
+    for (auto& [name, host] : m_hosts.hosts()) {
+        host.disturbedIsStale = true;
+        if (name == from.name)
+            continue;
+        std::erase_if(host.outbox.harm, [&](const HarmReport& waiting) {
+            return waiting.serving == pair.serving && waiting.filling == pair.filling;
+        });
+        host.outbox.harm.push_back({ pair.serving, pair.filling, known.harmful, known.harmless });
+    }
+}
+
 void Dispatcher::lifeChanged(HostView& host, const HostReport& report)
 {
     LogEvent(LogLevel::Info, "worker_life")
@@ -250,6 +269,7 @@
     if (!known.seen && known.stage == HostRun::Stage::Adopted)
         host.outbox.known.push_back(describe(*job, *id, *task));
     known.seen = true;
+    host.setPace(known, row.pace);
     task->percent = row.percent;
     if (!row.checkpoint.empty())
         task->checkpoint = row.checkpoint;
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hemlocklead::dispatch {
@@ -80,6 +81,8 @@
     const bool sameLife = orders.life == m_life;
     if (sameLife && orders.echoMs > 0)
         m_leaseUntilMs = std::max<int64_t>(m_leaseUntilMs, orders.echoMs + m_settings.lease.count());
+    for (const HarmReport& pair : orders.harm)
+        m_pace.harm().merge(pair.serving, pair.filling, pair.harmful, pair.harmless);
     for (const RunOrder& known : orders.known)
         m_known.insert_or_assign(known.task, known);
     for (const RunOrder& order : orders.starts) {
@@ -257,12 +260,58 @@
         m_known.erase(end.task);
         m_ends.push_back(std::move(end));
     }
+    controlPace();
     report(true);
     const Duration elapsed = m_clock.now() - sent.sentAt;
     const Duration pause = m_ends.empty() ? m_settings.shortestLook : m_settings.ackWait;
     scheduleLook(elapsed >= pause ? Duration { 0 } : pause - elapsed);
 }
 
+void HostAgent::controlPace()
+{
+    std::vector<ServingTask> serving;
+    std::vector<FillingTask> filling;
+    std::map<std::string, uint32_t> attempts;
+    for (WorkerRun& run : m_running) {
+        const auto known = m_known.find(run.report.task);
+        if (known == m_known.end())
+            continue;
+        const RunOrder& order = known->second;
+        if (order.tailTargetMs > 0) {
+            const double ratio = static_cast<double>(run.figure) / static_cast<double>(order.tailTargetMs);
+            serving.push_back({ order.task, order.image, ratio });
+        }
+        if (order.fills) {
+            filling.push_back({ order.task, order.image, static_cast<double>(order.cpuMilli) / 1000 });
+            attempts[order.task] = run.report.attempt;
+            run.report.pace = m_pace.pace(order.task);
+        }
+    }
+    for (const PaceOrder& order : m_pace.update(serving, filling, m_clock.now())) {
+        m_counters.add("pace_orders");
+        LogEvent(LogLevel::Info, "run_paced").field("task", order.task).field("percent", order.percent);
+        m_worker.pace({ order.task, attempts[order.task] }, order.percent, m_fence,
+            [this, task = order.task](const WorkerAnswer& answer) {
+                if (answer.status != WorkerAnswer::Status::Done)
+                    m_pace.forget(task);
+            });
+    }
+}
+
+std::vector<HarmReport> HostAgent::takeChangedHarm()
+{
+    // Fewer new looks do not alter a placement.
+    constexpr double noticeable = 2;
+    std::vector<HarmReport> changed;
+    for (auto& [pair, entry] : m_pace.harm().entries()) {
+        if (entry.unreported < noticeable)
+            continue;
+        entry.unreported = 0;
+        changed.push_back({ pair.first, pair.second, entry.harmful, entry.harmless });
+    }
+    return changed;
+}
+
 void HostAgent::beginLife(int64_t life)
 {
     LogEvent(LogLevel::Info, "worker_life").field("life", life).field("former", m_life);
@@ -321,6 +370,7 @@
             message.pending.push_back({ open.order.task, open.order.attempt, "", 0 });
     }
     message.ends = m_ends;
+    message.harm = takeChangedHarm();
     message.refusals = std::exchange(m_refusals, {});
     m_sender.send(message);
 }
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -2,6 +2,7 @@
 
 #include "base/Counters.h"
 #include "dispatch/Journal.h"
+#include "dispatch/PaceControl.h"
 #include "dispatch/WorkerPort.h"
 
 #include <map>
@@ -88,6 +89,8 @@
     void revoke(const std::string& key);
     void refuse(const RunOrder& order, const std::string& reason);
     void stopRun(const RunStop& stop, int triesLeft);
+    void controlPace();
+    std::vector<HarmReport> takeChangedHarm();
     uint64_t settledOrders() const;
     void report(bool full);
 
@@ -119,6 +122,7 @@
     std::vector<RunEnd> m_ends; ///< Not acknowledged yet.
     std::vector<RunRefusal> m_refusals; ///< For the next report.
     std::map<std::string, OpenStart> m_open; ///< By task and attempt.
+    PaceControl m_pace { {} };
     std::map<std::string, RunOrder> m_known; ///< Descriptions of runs, by task.
 };
 
--- a/src/dispatch/HostBook.cpp
+++ b/src/dispatch/HostBook.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/HostBook.h"
 
+#include <algorithm>
+
 namespace hemlocklead::dispatch {
 
 HostView& HostBook::host(const std::string& name)
@@ -15,6 +17,32 @@
     return found == m_hosts.end() ? nullptr : &found->second;
 }
 
+void HostView::refreshDisturbed(const HarmTable& harm)
+{
+    if (!disturbedIsStale)
+        return;
+    disturbedIsStale = false;
+    disturbed.clear();
+    for (const auto& [task, run] : runs) {
+        if (run.lasting)
+            ++disturbed[run.image].tasks;
+    }
+    for (auto& [serving, group] : disturbed) {
+        for (const auto& [task, run] : runs) {
+            if (run.fills)
+                group.probability = std::max(group.probability, harm.probability(serving, run.image));
+        }
+    }
+}
+
+void HostView::setPace(HostRun& run, int64_t pace)
+{
+    if (run.pace == pace)
+        return;
+    usageMilli += run.usageMilli * pace / 100 - run.usageMilli * run.pace / 100;
+    run.pace = pace;
+}
+
 HostRun& HostBook::add(HostView& host, const TaskId& task, uint32_t attempt, const StepSpec& step, HostRun::Stage stage)
 {
     const std::string name = task.text();
@@ -26,13 +54,13 @@
     run.reserved = step.resources;
     if (step.fills)
         run.reserved.cpuMilli = 0;
-    const double usage = step.lasting ? lastingUsage : 1.0;
-    run.usageMilli = static_cast<int64_t>(static_cast<double>(step.resources.cpuMilli) * usage);
+    run.usageMilli = step.resources.cpuMilli;
     run.fills = step.fills;
     run.lasting = step.lasting;
     run.image = step.image;
     host.reserved = host.reserved + run.reserved;
-    host.usageMilli += run.usageMilli;
+    host.disturbedIsStale = true;
+    (step.lasting ? host.lastingMilli : host.usageMilli) += run.usageMilli;
     return host.runs.emplace(name, std::move(run)).first->second;
 }
 
@@ -42,7 +70,9 @@
     if (found == host.runs.end())
         return;
     host.reserved = host.reserved - found->second.reserved;
-    host.usageMilli -= found->second.usageMilli;
+    host.setPace(found->second, 100);
+    (found->second.lasting ? host.lastingMilli : host.usageMilli) -= found->second.usageMilli;
+    host.disturbedIsStale = true;
     host.runs.erase(found);
 }
 
--- a/src/dispatch/HostBook.h
+++ b/src/dispatch/HostBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/HarmTable.h"
 #include "dispatch/JobSpec.h"
 #include "protocol/DispatchMessages.h"
 
@@ -23,7 +24,8 @@
     Stage stage { Stage::Adopted };
     uint64_t sequence { 0 }; ///< Of the order on the present connection.
     Resources reserved; ///< Without processors for a task that fills.
-    int64_t usageMilli { 0 }; ///< Expected processor use.
+    int64_t usageMilli { 0 }; ///< Expected processor use at full pace.
+    int64_t pace { 100 }; ///< Share of its speed that the agent lets it use, in percent.
     bool fills { false };
     bool lasting { false };
     std::string image;
@@ -32,8 +34,17 @@
     Instant stopSentAt {};
 };
 
+/// The serving tasks of one image on a host.
+struct Disturbed {
+    uint32_t tasks { 0 };
+    double probability { 0 }; ///< That the worst filling task on the host pushes them over their target.
+};
+
 /// A worker host as the owner sees it.
 struct HostView {
+    /// Share of their declared processors that lasting tasks use on average. Owners declare the peak.
+    static constexpr double lastingUsage = 0.5;
+
     std::string name;
     bool connected { false };
     bool reported { false }; ///< A report has come over the present connection.
@@ -41,7 +52,10 @@
     Instant leaseEnd {}; ///< Every lease on the host's worker has ended after this.
     HostReport last; ///< The last report, without its lists.
     Resources reserved;
-    int64_t usageMilli { 0 };
+    int64_t usageMilli { 0 }; ///< Expected use of all runs but the lasting ones.
+    int64_t lastingMilli { 0 }; ///< Declared processors of the lasting ones.
+    std::map<std::string, Disturbed> disturbed; ///< By serving image.
+    bool disturbedIsStale { true };
     uint64_t endsApplied { 0 }; ///< Of the present life.
     uint64_t endsDurable { 0 };
     uint64_t nextSequence { 1 };
@@ -52,7 +66,17 @@
     Resources free() const { return last.capacity - reserved; }
 
     /// Processor time that the running tasks are expected to leave, thousandths of a core.
-    int64_t leftoverMilli() const { return last.capacity.cpuMilli - usageMilli; }
+    int64_t leftoverMilli() const
+    {
+        const auto lasting = static_cast<int64_t>(static_cast<double>(lastingMilli) * lastingUsage);
+        return last.capacity.cpuMilli - usageMilli - lasting;
+    }
+
+    /// Works `disturbed` out again after a change.
+    void refreshDisturbed(const HarmTable& harm);
+
+    /// Sets the pace of a run and what it uses.
+    void setPace(HostRun& run, int64_t pace);
 
     bool outboxIsEmpty() const
     {
@@ -64,9 +88,6 @@
 /// The hosts and the resources that runs take on them.
 class HostBook {
 public:
-    /// Share of its declared processors that a lasting task uses on average. Owners declare the peak.
-    static constexpr double lastingUsage = 0.5;
-
     HostView& host(const std::string& name);
     HostView* find(const std::string& name);
     std::map<std::string, HostView>& hosts() { return m_hosts; }
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -14,6 +14,10 @@
     constexpr int64_t avoidPenalty = 4'000'000;
     constexpr int64_t remotePenalty = 2'000'000;
 
+    /// Thousandths of a core of leftover that outweigh one disturbed serving task. A task over its target for others'
+    /// doing costs its users about as much as the work of some ten cores is worth.
+    constexpr double harmPenalty = 10'000;
+
     bool hasLabel(const HostView& host, const std::string& label)
     {
         return label.empty() || std::ranges::find(host.last.labels, label) != host.last.labels.end();
@@ -40,10 +44,33 @@
         return placed == needs.tasksByHost.end() || placed->second < step.maxPerHost;
     }
 
+    /// Number of serving tasks that one more task of the step is expected to push over their target, beyond those that
+    /// the host's filling tasks push over already.
+    double newlyDisturbed(const StepSpec& step, const HostView& host, const HarmTable& harm)
+    {
+        double tasks = 0;
+        for (const auto& [serving, group] : host.disturbed) {
+            const double rise = harm.probability(serving, step.image) - group.probability;
+            tasks += std::max(rise, 0.0) * group.tasks;
+        }
+        return tasks;
+    }
+
+    /// Whether a task that fills would get too little of the host to be worth a start there.
+    bool wouldCrawl(const StepSpec& step, const HostView& host)
+    {
+        const auto leftNeeded = static_cast<int64_t>(static_cast<double>(step.resources.cpuMilli) * fillShare);
+        return host.leftoverMilli() < leftNeeded;
+    }
+
     /// Lower is better.
-    int64_t cost(const StepSpec& step, const PlacementNeeds& needs, const HostView& host)
+    int64_t cost(const StepSpec& step, const PlacementNeeds& needs, const HostView& host, const PlacementView& view)
     {
-        int64_t cost = step.fills ? step.resources.cpuMilli - host.leftoverMilli() : host.free().cpuMilli;
+        int64_t cost = host.free().cpuMilli;
+        if (step.fills) {
+            cost = step.resources.cpuMilli - host.leftoverMilli();
+            cost += static_cast<int64_t>(newlyDisturbed(step, host, view.harm) * harmPenalty);
+        }
         if (host.name == needs.avoidHost)
             cost += avoidPenalty;
         const std::string& rack = step.dataRack.empty() ? needs.rack : step.dataRack;
@@ -65,7 +92,6 @@
     const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, bool overcommit)
 {
     const Resources needed = reservation(step);
-    const auto leftNeeded = static_cast<int64_t>(static_cast<double>(step.resources.cpuMilli) * fillShare);
     const HostView* best = nullptr;
     int64_t bestCost = 0;
     for (const auto& [name, host] : view.hosts) {
@@ -73,9 +99,9 @@
             continue;
         if (!withinHostLimit(step, needs, host))
             continue;
-        if (step.fills && !overcommit && host.leftoverMilli() < leftNeeded)
+        if (step.fills && !overcommit && wouldCrawl(step, host))
             continue;
-        const int64_t hostCost = cost(step, needs, host);
+        const int64_t hostCost = cost(step, needs, host, view);
         if (!best || hostCost < bestCost) {
             best = &host;
             bestCost = hostCost;
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/HarmTable.h"
 #include "dispatch/HostBook.h"
 
 #include <functional>
@@ -22,6 +23,7 @@
     std::function<bool(const std::string& host)> isEjected;
     Instant now;
     Duration maxReportAge;
+    const HarmTable& harm;
 };
 
 /// Whether the host may get new runs at all.
@@ -30,8 +32,8 @@
 /// Chooses the host for one task, or null when none has room.
 ///
 /// Tasks with reserved processors go where they leave the smallest hole, so that large holes stay for large tasks.
-/// Tasks that fill go where the other tasks leave most processor time; they wait while no host leaves enough, unless
-/// `overcommit` is set.
+/// Tasks that fill go where the other tasks leave most processor time and are disturbed least; they wait while no host
+/// leaves enough, unless `overcommit` is set.
 const HostView* chooseHost(
     const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, bool overcommit);
 
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -14,6 +14,7 @@
     uint32_t attempt { 0 };
     std::string checkpoint; ///< Newest checkpoint, empty without one.
     int64_t percent { 0 }; ///< Progress, 0 to 100.
+    int64_t pace { 100 }; ///< Share of its speed that the agent lets it use, in percent.
 
     bool operator==(const RunReport&) const = default;
 };
@@ -61,6 +62,16 @@
     bool operator==(const RunStop&) const = default;
 };
 
+/// What agents learned of a pair of images; see dispatch::HarmTable.
+struct HarmReport {
+    std::string serving;
+    std::string filling;
+    double harmful { 0 };
+    double harmless { 0 };
+
+    bool operator==(const HarmReport&) const = default;
+};
+
 /// Agent to owner: what the host has and runs. Sent after each look at the worker and at each change.
 struct HostReport {
     std::string host;
@@ -82,6 +93,7 @@
     std::vector<RunReport> pending;
     std::vector<RunEnd> ends;
     std::vector<RunRefusal> refusals;
+    std::vector<HarmReport> harm; ///< Pairs whose value has changed.
 };
 
 /// Owner to agent. Renews the leases on the worker and carries orders.
@@ -93,6 +105,7 @@
     std::vector<RunOrder> starts;
     std::vector<RunStop> stops;
     std::vector<RunOrder> known; ///< Descriptions of attempts that run already.
+    std::vector<HarmReport> harm; ///< What other agents learned.
 };
 
 } // namespace hemlocklead
