Keep the description of a run when an older run of its task ends

A watch task was restarted on its host; the unacknowledged end of its former run was listed again and erased the description of the present one, so nothing was held for it.

Change: an end erases the description of its own attempt only.

HostAgentTest fails before and passes after.

Conclusion: lists by task need the attempt.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -257,7 +257,9 @@
     for (RunEnd& end : state.ends) {
         if (end.number <= m_acknowledged)
             continue;
-        m_known.erase(end.task);
+        const auto known = m_known.find(end.task);
+        if (known != m_known.end() && known->second.attempt == end.attempt)
+            m_known.erase(known);
         m_ends.push_back(std::move(end));
     }
     controlPace();
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -40,7 +40,12 @@
             stops.push_back({ stop, std::move(done) });
         }
 
-        void pace(const RunStop&, int64_t, uint64_t, std::function<void(WorkerAnswer)>) override { }
+        void pace(
+            const RunStop& run, int64_t percent, uint64_t, std::function<void(WorkerAnswer)> done) override
+        {
+            paces.emplace_back(run.task, percent);
+            done({ WorkerAnswer::Status::Done, {} });
+        }
 
         void look(const WorkerLook& look, uint64_t fence, std::function<void(WorkerState)> done) override
         {
@@ -49,6 +54,7 @@
 
         std::vector<Start> starts;
         std::vector<Stop> stops;
+        std::vector<std::pair<std::string, int64_t>> paces;
         std::vector<Look> looks;
     };
 
@@ -180,6 +186,43 @@
         EXPECT_EQ(lastReport().settledOrders, 1u);
     }
 
+    // Guards against HARM: a serving task that was restarted on its host lost its description when the end of its
+    // former run was listed again, so nothing was held for it.
+    TEST_F(HostAgentTest, servingTask_restartedOnSameHost_isStillProtected)
+    {
+        m_delays.run(Duration { 100 });
+        HostOrders orders;
+        orders.epoch = 7;
+        orders.life = life;
+        orders.echoMs = workerClock();
+        RunOrder serving;
+        serving.sequence = 1;
+        serving.task = "watch.0.0.0";
+        serving.attempt = 2;
+        serving.image = "watch-image";
+        serving.tailTargetMs = 100;
+        RunOrder filling;
+        filling.sequence = 2;
+        filling.task = "batch.0.0.0";
+        filling.attempt = 1;
+        filling.image = "batch-image";
+        filling.fills = true;
+        filling.cpuMilli = 8000;
+        orders.starts = { serving, filling };
+        m_agent.ordered(orders);
+        for (auto& start : m_worker.starts)
+            start.done({ WorkerAnswer::Status::Done, {} });
+        for (int i = 0; i < 30; ++i) {
+            if (!m_worker.looks.empty()) {
+                answerLook({ { { "watch.0.0.0", 2, "", 100 }, 300 }, { { "batch.0.0.0", 1, "", 20 }, 8000 } },
+                    { { 1, "watch.0.0.0", 1, "failed", "" } });
+            }
+            m_delays.run(Duration { 200 });
+        }
+        ASSERT_FALSE(m_worker.paces.empty());
+        EXPECT_EQ(m_worker.paces[0], std::pair(std::string("batch.0.0.0"), int64_t { 0 }));
+    }
+
     // Guards against a deposed owner that still reaches the agent.
     TEST_F(HostAgentTest, orders_ofLowerEpoch_areRefused)
     {
