--- /dev/null
+++ b/tests/support/MemoryJournal.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "dispatch/Journal.h"
+
+#include <algorithm>
+#include <map>
+
+namespace hemlocklead {
+
+/// Keyed journal in memory that answers at once, loses answers or refuses, as the test tells it.
+class MemoryJournal final : public dispatch::JournalService {
+public:
+    enum class Mode : uint8_t {
+        Normal,
+        Refusing, ///< Nothing is recorded or read.
+        LosingAnswers, ///< Appends are recorded and not answered.
+    };
+
+    void append(std::vector<dispatch::JournalRecord> records, std::optional<dispatch::AppendFence> fence, Duration,
+        std::function<void(dispatch::AppendStatus)> done) override
+    {
+        ++appends;
+        if (mode == Mode::Refusing)
+            return done(dispatch::AppendStatus::NotDone);
+        const dispatch::AppendStatus status = record(std::move(records), fence);
+        done(mode == Mode::LosingAnswers ? dispatch::AppendStatus::Unknown : status);
+    }
+
+    void newest(const std::string& after, Duration, std::function<void(dispatch::NewestPage)> done) override
+    {
+        if (mode == Mode::Refusing)
+            return done({});
+        std::map<std::string, dispatch::JournalRecord> byKey;
+        for (const dispatch::JournalRecord& record : m_records)
+            byKey[record.key] = record;
+        dispatch::NewestPage page { true, {}, false, m_records.size() };
+        for (const auto& [key, record] : byKey) {
+            if (key <= after || !record.value)
+                continue;
+            if (page.records.size() == pageSize) {
+                page.hasMore = true;
+                break;
+            }
+            page.records.push_back(record);
+        }
+        done(std::move(page));
+    }
+
+    void read(uint64_t from, Duration, Duration, std::function<void(dispatch::ReadResult)> done) override
+    {
+        using Status = dispatch::ReadResult::Status;
+        if (mode == Mode::Refusing)
+            return done({});
+        if (from < firstRetained)
+            return done({ Status::Expired, {}, 0 });
+        dispatch::ReadResult result { Status::Ok, {}, m_records.size() };
+        for (uint64_t offset = from; offset < m_records.size(); ++offset)
+            result.records.push_back(m_records[offset]);
+        done(std::move(result));
+    }
+
+    /// The value of the newest record of the key, or an empty string.
+    std::string value(const std::string& key) const
+    {
+        for (size_t i = m_records.size(); i-- > 0;) {
+            if (m_records[i].key == key)
+                return m_records[i].value.value_or("");
+        }
+        return {};
+    }
+
+    size_t size() const { return m_records.size(); }
+
+    Mode mode { Mode::Normal };
+    size_t pageSize { 500 };
+    uint64_t firstRetained { 0 };
+    int appends { 0 };
+
+private:
+    dispatch::AppendStatus record(
+        std::vector<dispatch::JournalRecord> records, const std::optional<dispatch::AppendFence>& fence)
+    {
+        if (fence) {
+            if (fence->epoch < m_epoch)
+                return dispatch::AppendStatus::Fenced;
+            // A repeat gets the answer of the first append.
+            if (fence->epoch == m_epoch && fence->sequence == m_sequence)
+                return dispatch::AppendStatus::Done;
+            if (fence->epoch == m_epoch && fence->sequence != m_sequence + 1)
+                return dispatch::AppendStatus::Rejected;
+            m_epoch = fence->epoch;
+            m_sequence = fence->sequence;
+        }
+        for (dispatch::JournalRecord& record : records) {
+            record.offset = m_records.size();
+            m_records.push_back(std::move(record));
+        }
+        return dispatch::AppendStatus::Done;
+    }
+
+    std::vector<dispatch::JournalRecord> m_records;
+    uint64_t m_epoch { 0 };
+    uint64_t m_sequence { 0 };
+};
+
+} // namespace hemlocklead
--- /dev/null
+++ b/tests/unit/HarmTest.cpp
@@ -0,0 +1,180 @@
+#include "dispatch/HostChooser.h"
+#include "dispatch/PaceControl.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlocklead::dispatch {
+namespace {
+
+    /// Load pattern: serving tasks beside tasks that fill, of which some images disturb some others heavily.
+    class HarmTest : public testing::Test {
+    protected:
+        /// Looks for `time`; the tail is `disturbed` while the task that fills runs at full pace.
+        std::vector<PaceOrder> look(Duration time, double disturbed, double calm)
+        {
+            std::vector<PaceOrder> orders;
+            const Instant end = m_now + time;
+            while (m_now < end) {
+                const double ratio = m_control.pace("fill") > 0 ? disturbed : calm;
+                for (const PaceOrder& order :
+                    m_control.update({ { "serve", "s", ratio } }, { { "fill", "f", 8 } }, m_now))
+                    orders.push_back(order);
+                m_now += Duration { 450 };
+            }
+            return orders;
+        }
+
+        Instant m_now { Duration { 1'000'000 } };
+        PaceControl m_control { {} };
+    };
+
+    // Guards against HARM: a serving task that is over its target for 4 s while what disturbs it works on.
+    TEST_F(HarmTest, servingTask_overItsTarget_holdsTheOffenderInTime)
+    {
+        look(Duration { 4000 }, 0.4, 0.4);
+        const Instant over = m_now;
+        while (m_control.pace("fill") > 0 && m_now - over < Duration { 6000 })
+            look(Duration { 450 }, 3.0, 0.4);
+        // Figures lag by half a second, and a hold shows after another half.
+        EXPECT_LE(m_now - over, Duration { 3000 });
+        const std::vector<PaceOrder> later = look(Duration { 1000 }, 3.0, 0.4);
+        ASSERT_FALSE(later.empty());
+        EXPECT_EQ(later[0], (PaceOrder { "fill", 100 }));
+    }
+
+    // Guards against throughput lost to a short spike.
+    TEST_F(HarmTest, servingTask_shortSpike_holdsNothing)
+    {
+        look(Duration { 4000 }, 0.4, 0.4);
+        look(Duration { 1000 }, 2.0, 0.4);
+        EXPECT_TRUE(look(Duration { 4000 }, 0.4, 0.4).empty());
+    }
+
+    // Guards against blame that falls on an image that was seen to do no harm.
+    TEST_F(HarmTest, harm_seenWithAndWithoutAnImage_isLaidOnTheOther)
+    {
+        for (int i = 0; i < 20; ++i, m_now += Duration { 450 })
+            m_control.update({ { "serve", "s", 0.4 } }, { { "a", "calm", 8 } }, m_now);
+        for (int i = 0; i < 8; ++i, m_now += Duration { 450 })
+            m_control.update({ { "serve", "s", 3.0 } }, { { "a", "calm", 8 }, { "b", "bad", 8 } }, m_now);
+        EXPECT_GT(m_control.harm().probability("s", "bad"), 0.7);
+        EXPECT_LT(m_control.harm().probability("s", "calm"), 0.4);
+    }
+
+    class HostChooserTest : public testing::Test {
+    protected:
+        HostView& addHost(const std::string& name, int64_t cpu)
+        {
+            HostView& host = m_book.host(name);
+            host.connected = true;
+            host.reported = true;
+            host.reportedAt = m_now;
+            host.last.life = 1;
+            host.last.service = "service";
+            host.last.rack = "rack-" + name;
+            host.last.labels = { "kind", "rack-" + name };
+            host.last.capacity = { cpu, 100'000, 0 };
+            return host;
+        }
+
+        const HostView* choose(const StepSpec& step, const PlacementNeeds& needs = { "service", "", {}, "" })
+        {
+            for (auto& [name, host] : m_book.hosts())
+                host.refreshDisturbed(m_harm);
+            const PlacementView view { m_book.hosts(), m_closed, [](const std::string&) { return false; }, m_now,
+                Duration { 1500 }, m_harm };
+            return chooseHost(step, needs, view, false);
+        }
+
+        static StepSpec step(int64_t cpu)
+        {
+            StepSpec spec;
+            spec.resources = { cpu, 100, 0 };
+            return spec;
+        }
+
+        Instant m_now { Duration { 1'000'000 } };
+        HostBook m_book;
+        HarmTable m_harm;
+        std::set<std::string> m_closed;
+    };
+
+    // Load pattern: many short tasks between large lasting ones. Guards against holes that are too small for a large
+    // task although enough is free.
+    TEST_F(HostChooserTest, shortTask_severalHostsFit_takesTheSmallestHole)
+    {
+        addHost("a", 64'000);
+        HostView& b = addHost("b", 64'000);
+        m_book.add(b, { "job", 0, 0, 0 }, 1, step(60'000), HostRun::Stage::Ordered);
+        EXPECT_EQ(choose(step(1000))->name, "b");
+        EXPECT_EQ(choose(step(8000))->name, "a");
+    }
+
+    // Load pattern: filling tasks beside serving ones. Guards against a task that disturbs a serving task although a
+    // host is there whose tasks it does not disturb.
+    TEST_F(HostChooserTest, fillingTask_avoidsHostsWhoseServingTasksItDisturbs)
+    {
+        StepSpec serving = step(10'000);
+        serving.lasting = true;
+        HostView& a = addHost("a", 64'000);
+        HostView& b = addHost("b", 64'000);
+        serving.image = "fragile";
+        m_book.add(a, { "watch", 0, 0, 0 }, 1, serving, HostRun::Stage::Ordered);
+        serving.image = "robust";
+        m_book.add(b, { "watch", 0, 0, 1 }, 1, serving, HostRun::Stage::Ordered);
+        m_book.add(b, { "watch", 0, 0, 2 }, 1, serving, HostRun::Stage::Ordered);
+        m_harm.note("fragile", "batch", 20, 0);
+        m_harm.note("robust", "batch", 0, 20);
+        StepSpec filling = step(7000);
+        filling.fills = true;
+        filling.image = "batch";
+        EXPECT_EQ(choose(filling)->name, "b");
+    }
+
+    // Guards against starts on hosts that are out, leave, are silent or lack the label.
+    TEST_F(HostChooserTest, unusableHosts_areNotChosen)
+    {
+        HostView& a = addHost("a", 64'000);
+        EXPECT_NE(choose(step(1000)), nullptr);
+        a.last.draining = true;
+        EXPECT_EQ(choose(step(1000)), nullptr);
+        a.last.draining = false;
+        a.last.silent = true;
+        EXPECT_EQ(choose(step(1000)), nullptr);
+        a.last.silent = false;
+        a.last.dataCentre = "out";
+        m_closed = { "out" };
+        EXPECT_EQ(choose(step(1000)), nullptr);
+        m_closed.clear();
+        StepSpec labelled = step(1000);
+        labelled.requiredLabel = "other";
+        EXPECT_EQ(choose(labelled), nullptr);
+        a.reportedAt = m_now - Duration { 2000 };
+        EXPECT_EQ(choose(step(1000)), nullptr);
+    }
+
+    // Guards against more tasks of a step on one host than it allows.
+    TEST_F(HostChooserTest, step_atItsHostLimit_goesElsewhere)
+    {
+        addHost("a", 8000);
+        addHost("b", 64'000);
+        StepSpec spec = step(1000);
+        spec.maxPerHost = 1;
+        EXPECT_EQ(choose(spec, { "service", "", { { "a", 1 } }, "" })->name, "b");
+        EXPECT_EQ(choose(spec, { "service", "", { { "a", 1 }, { "b", 1 } }, "" }), nullptr);
+    }
+
+    // Guards against work far from its data although a host of its rack has room, and against waiting for that rack.
+    TEST_F(HostChooserTest, dataRack_isPreferredAndNotRequired)
+    {
+        addHost("a", 8000);
+        addHost("b", 64'000);
+        StepSpec spec = step(1000);
+        spec.dataRack = "rack-b";
+        EXPECT_EQ(choose(spec)->name, "b");
+        spec.dataRack = "rack-c";
+        EXPECT_NE(choose(spec), nullptr);
+    }
+
+} // namespace
+} // namespace hemlocklead::dispatch
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -40,8 +40,7 @@
             stops.push_back({ stop, std::move(done) });
         }
 
-        void pace(
-            const RunStop& run, int64_t percent, uint64_t, std::function<void(WorkerAnswer)> done) override
+        void pace(const RunStop& run, int64_t percent, uint64_t, std::function<void(WorkerAnswer)> done) override
         {
             paces.emplace_back(run.task, percent);
             done({ WorkerAnswer::Status::Done, {} });
--- /dev/null
+++ b/tests/unit/PlatformTest.cpp
@@ -0,0 +1,148 @@
+#include "dispatch/RouteTable.h"
+#include "platform/JobWire.h"
+#include "platform/Settings.h"
+#include "platform/StoreFormat.h"
+#include "platform/WorkerClient.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace hemlocklead::platform {
+namespace {
+
+    class PlatformTest : public testing::Test {
+    protected:
+        static Result<dispatch::JobSpec> parse(const std::string& body) { return parseJob(body); }
+
+        /// Whether the job is refused.
+        static bool isRefused(const std::string& body)
+        {
+            return orElse(
+                [&]() -> Result<bool> {
+                    BOOST_LEAF_CHECK(parseJob(body));
+                    return false;
+                },
+                [](const Error&) { return true; });
+        }
+    };
+
+    // Guards against offsets that run apart from the records, which would skip or repeat records.
+    TEST_F(PlatformTest, records_roundTrip_keepKeysValuesAndOffsets)
+    {
+        std::string body(15, '\0');
+        body += '\x09'; // End 9, first retained offset 0.
+        std::swap(body[7], body[15]);
+        appendRecord(body, { "key-1", "value", 0 });
+        appendRecord(body, { "key-2", std::nullopt, 0 });
+        const dispatch::ReadResult result = parseRecords(body, 7);
+        ASSERT_EQ(result.status, dispatch::ReadResult::Status::Ok);
+        EXPECT_EQ(result.end, 9u);
+        ASSERT_EQ(result.records.size(), 2u);
+        EXPECT_EQ(result.records[0], (dispatch::JournalRecord { "key-1", "value", 7 }));
+        EXPECT_EQ(result.records[1], (dispatch::JournalRecord { "key-2", std::nullopt, 8 }));
+    }
+
+    // Guards against a body that was cut off and is taken for all records.
+    TEST_F(PlatformTest, records_cutShort_areNotUsed)
+    {
+        std::string body(16, '\0');
+        appendRecord(body, { "key", "value", 0 });
+        body.pop_back();
+        EXPECT_EQ(parseRecords(body, 0).status, dispatch::ReadResult::Status::Unavailable);
+        EXPECT_EQ(parseRecords("short", 0).status, dispatch::ReadResult::Status::Unavailable);
+    }
+
+    // Guards against other writers' pages that end a process.
+    TEST_F(PlatformTest, newestPage_withUnreadableItems_keepsTheOthers)
+    {
+        const dispatch::NewestPage page = parseNewestPage(
+            R"({"items": [{"key": "a", "value": "dmFsdWU=", "offset": 3}, {"key": "b", "value": "*"}, 7],
+                "hasMore": true, "endOffset": 9})");
+        ASSERT_TRUE(page.ok);
+        EXPECT_TRUE(page.hasMore);
+        EXPECT_EQ(page.end, 9u);
+        EXPECT_EQ(page.records[0], (dispatch::JournalRecord { "a", "value", 3 }));
+        EXPECT_FALSE(page.records[1].value.has_value());
+        EXPECT_FALSE(parseNewestPage("{").ok);
+        EXPECT_FALSE(parseNewestPage("[]").ok);
+    }
+
+    // Guards against malformed jobs that are accepted or that end a process.
+    TEST_F(PlatformTest, job_malformed_isRefused)
+    {
+        for (const char* body : { "", "{", "[]", "7", R"({"steps": 5})", R"({"steps": []})", R"({"steps": [5]})",
+                 R"({"steps": [{"count": 0}]})", R"({"steps": [{"count": -4}]})", R"({"steps": [{"count": 1e9}]})",
+                 R"({"steps": [{"count": 1, "after": [0]}]})", R"({"steps": [{"count": 1, "cpu": -1}]})" })
+            EXPECT_TRUE(isRefused(body)) << body;
+        EXPECT_FALSE(isRefused(R"({"spec": "x", "steps": [{"count": 2, "cpu": 500, "new": {}}]})"));
+    }
+
+    // Guards against status reports of another writer that change what is known of the worker.
+    TEST_F(PlatformTest, announcement_unreadable_namesNoWorker)
+    {
+        for (const char* body : { "", "{", "[]", R"({"service": "s"})",
+                 R"({"service": "s", "state": "odd", "born": 5, "sequence": 1, "capacity": {}})",
+                 R"({"service": "s", "state": "ready", "born": "5", "sequence": 1, "capacity": {}})",
+                 R"({"service": 5, "state": "ready", "born": 5, "sequence": 1, "capacity": {}})" })
+            EXPECT_FALSE(parseAnnouncement(body).has_value()) << body;
+        const auto announcement = parseAnnouncement(
+            R"({"service": "s", "state": "draining", "born": 5, "sequence": 1, "remainingMs": 900, "zone": "z",
+                "capacity": {"cpu": 4000, "memMb": 100}, "labels": ["kind", "r1"]})");
+        ASSERT_TRUE(announcement.has_value());
+        EXPECT_TRUE(announcement->draining);
+        EXPECT_EQ(announcement->rack, "r1");
+        EXPECT_EQ(announcement->capacity.cpuMilli, 4000);
+    }
+
+    // Guards against rows of another shape in the worker's lists.
+    TEST_F(PlatformTest, workerState_withOddRows_keepsTheOthers)
+    {
+        const dispatch::WorkerState state = parseWorkerState(200,
+            R"({"clockMs": 50, "born": 7, "running": [["t", 2, "c", 40, 12], [], 5],
+                "endedRuns": [[3, "t", 1, "done", "c"], ["x"]]})");
+        ASSERT_EQ(state.status, dispatch::WorkerState::Status::Ok);
+        EXPECT_EQ(state.life, 7);
+        ASSERT_EQ(state.running.size(), 1u);
+        EXPECT_EQ(state.running[0].figure, 12);
+        ASSERT_EQ(state.ends.size(), 1u);
+        EXPECT_EQ(state.ends[0], (RunEnd { 3, "t", 1, "done", "c" }));
+        EXPECT_EQ(parseWorkerState(200, "{").status, dispatch::WorkerState::Status::None);
+        EXPECT_EQ(parseWorkerState(421, "").status, dispatch::WorkerState::Status::OtherLife);
+    }
+
+    // Guards against a configuration that goes back, and against routes that shadow longer ones.
+    TEST_F(PlatformTest, configuration_olderVersion_isNotApplied)
+    {
+        const auto configuration = parseConfiguration(
+            R"({"version": 7, "routes": [{"name": "a", "host": "h", "pathPrefix": "/p/", "service": "s"},
+                {"name": "b", "host": "h", "pathPrefix": "/p/q/", "service": "s"}, {"name": 5}]})");
+        ASSERT_TRUE(configuration.has_value());
+        ASSERT_EQ(configuration->routes.size(), 2u);
+        dispatch::RouteTable routes;
+        EXPECT_TRUE(routes.apply(*configuration));
+        EXPECT_EQ(routes.find("h:80", "/p/x")->terms.queue, "a");
+        EXPECT_EQ(routes.find("h", "/p/q/x")->terms.queue, "b");
+        EXPECT_EQ(routes.find("other", "/p/x"), nullptr);
+        EXPECT_FALSE(routes.apply({ 6, {} }));
+        EXPECT_NE(routes.find("h", "/p/x"), nullptr);
+    }
+
+    // Guards against a template whose settings the program refuses.
+    TEST_F(PlatformTest, settings_missingKey_areRefusedWithItsName)
+    {
+        const std::string file = std::filesystem::temp_directory_path() / "hemlocklead-platform-test.toml";
+        std::ofstream(file) << "[platform_agent]\nhost = \"a\"\n";
+        const std::string problem = orElse(
+            [&]() -> Result<std::string> {
+                BOOST_LEAF_CHECK(parseAgentSettings(file));
+                return std::string();
+            },
+            [](const Error& error) { return error.message; });
+        std::filesystem::remove(file);
+        EXPECT_NE(problem.find("control"), std::string::npos) << problem;
+    }
+
+} // namespace
+} // namespace hemlocklead::platform
