Refuse jobs with gangs or advice, share the record of checked files

The record of files that clang-tidy has passed lies in the user's cache, keyed by its version too. Findings of clang-tidy in the new code are mended.

--- a/scripts/check-tidy.sh
+++ b/scripts/check-tidy.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the sources, several at once. A file is checked again only when it or a header has changed.
+# Runs clang-tidy over the sources, several at once. A file is checked again only when it, a header or clang-tidy has
+# changed; the record of checked files is shared by all clones of a user, as the compiler's cache is.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=build/release
-cache=build/tidy-cache
+cache=${XDG_CACHE_HOME:-$HOME/.cache}/hemlocklead-tidy
 mkdir -p "$cache"
-headers=$(git ls-files -co --exclude-standard '*.h' .clang-tidy | sort | xargs cat | sha256sum | cut -d' ' -f1)
+headers=$( (clang-tidy --version; git ls-files -co --exclude-standard '*.h' .clang-tidy | sort | xargs cat) | sha256sum | cut -d' ' -f1)
 check() {
     key=$( (echo "$headers"; cat "$1") | sha256sum | cut -d' ' -f1)
     [ -e "$cache/$key" ] && return 0
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -315,12 +315,11 @@
     for (auto& [name, run] : host.runs) {
         if (run.stopping)
             continue;
-        const Job* job = m_book.find(run.task.job);
+        Job* job = m_book.find(run.task.job);
         if (!job)
             continue;
         const StepSpec& step = job->spec().steps[run.task.step];
-        Job* mutableJob = m_book.find(run.task.job);
-        const TaskState* task = mutableJob->find(run.task);
+        const TaskState* task = job->find(run.task);
         const int64_t leftMs = step.estimateMs * (100 - (task ? task->percent : 0)) / 100;
         const bool finishesInTime = !step.lasting && leftMs + drainSlackMs < host.last.remainingMs;
         if (finishesInTime)
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -110,11 +110,4 @@
     return best;
 }
 
-bool isPlaceable(const StepSpec& step, const std::string& service, const std::map<std::string, HostView>& hosts)
-{
-    return std::ranges::any_of(hosts, [&](const auto& entry) {
-        return matches(step, service, entry.second) && reservation(step).fitsIn(entry.second.last.capacity);
-    });
-}
-
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -37,7 +37,4 @@
 const HostView* chooseHost(
     const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, bool overcommit);
 
-/// Whether the step's tasks could run on some known host if it were empty.
-bool isPlaceable(const StepSpec& step, const std::string& service, const std::map<std::string, HostView>& hosts);
-
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/JobDesk.cpp
+++ b/src/dispatch/JobDesk.cpp
@@ -35,7 +35,7 @@
             m_accepted.insert_or_assign(id, m_clock.now());
         done(answer);
     };
-    send(std::move(append));
+    send(append);
 }
 
 void JobDesk::cancel(const std::string& id, Instant deadline, Callback done)
@@ -49,10 +49,10 @@
     append->record = { cancelKey(id), "{}", 0 };
     append->deadline = deadline - m_settings.reserve;
     append->done = std::move(done);
-    send(std::move(append));
+    send(append);
 }
 
-void JobDesk::send(std::shared_ptr<Append> append)
+void JobDesk::send(const std::shared_ptr<Append>& append)
 {
     m_journal.append({ append->record }, std::nullopt, m_settings.appendTimeout,
         [this, append](AppendStatus status) { answered(append, status); });
--- a/src/dispatch/JobDesk.h
+++ b/src/dispatch/JobDesk.h
@@ -55,7 +55,7 @@
         bool mayBeRecorded { false };
     };
 
-    void send(std::shared_ptr<Append> append);
+    void send(const std::shared_ptr<Append>& append);
     void answered(const std::shared_ptr<Append>& append, AppendStatus status);
 
     JobBook& m_book;
--- a/src/dispatch/JobSpec.cpp
+++ b/src/dispatch/JobSpec.cpp
@@ -125,6 +125,17 @@
     terms.allowance = json.value("allowance", Duration { 0 });
 }
 
+std::string unsupportedPart(const QueueTerms& terms, const JobSpec& spec)
+{
+    if (terms.needsAdvice)
+        return "queues with advice";
+    for (const StepSpec& step : spec.steps) {
+        if (step.gang)
+            return "gangs";
+    }
+    return {};
+}
+
 std::string problemOf(const JobSpec& spec)
 {
     if (spec.steps.empty())
--- a/src/dispatch/JobSpec.h
+++ b/src/dispatch/JobSpec.h
@@ -55,6 +55,7 @@
     int64_t maxAttempts { 1 }; ///< Failed runs of one task that end its job.
     double stretch { 1 }; ///< The objective is this many times the job's longest chain of work, plus `allowance`.
     Duration allowance { 0 };
+    bool needsAdvice { false }; ///< A service of its own decides which hosts may run a step.
 
     bool operator==(const QueueTerms&) const = default;
 };
@@ -82,6 +83,9 @@
 void to_json(Json& json, const QueueTerms& terms);
 void from_json(const Json& json, QueueTerms& terms);
 
+/// A part of a valid job that the dispatcher does not handle yet, or an empty string.
+std::string unsupportedPart(const QueueTerms& terms, const JobSpec& spec);
+
 /// Why the spec cannot be accepted, or an empty string.
 std::string problemOf(const JobSpec& spec);
 
--- a/src/dispatch/JournalFollower.cpp
+++ b/src/dispatch/JournalFollower.cpp
@@ -69,13 +69,13 @@
     const Instant sentAt = m_clock.now();
     const Duration wait = m_caughtUp ? m_settings.wait : Duration { 0 };
     m_journal.read(
-        m_next, wait, wait + m_settings.timeout, [this, sentAt, generation = m_generation](ReadResult result) {
+        m_next, wait, wait + m_settings.timeout, [this, sentAt, generation = m_generation](const ReadResult& result) {
             if (generation == m_generation)
-                recordsRead(std::move(result), sentAt);
+                recordsRead(result, sentAt);
         });
 }
 
-void JournalFollower::recordsRead(ReadResult result, Instant sentAt)
+void JournalFollower::recordsRead(const ReadResult& result, Instant sentAt)
 {
     if (result.status == ReadResult::Status::Expired) {
         LogEvent(LogLevel::Warning, "journal_history_lost").field("offset", m_next);
--- a/src/dispatch/JournalFollower.h
+++ b/src/dispatch/JournalFollower.h
@@ -54,7 +54,7 @@
     void readPage();
     void pageRead(NewestPage page);
     void readNext();
-    void recordsRead(ReadResult result, Instant sentAt);
+    void recordsRead(const ReadResult& result, Instant sentAt);
     void failed();
     void succeeded();
     void later(Duration delay, void (JournalFollower::*step)());
--- a/src/node/DispatchEntry.cpp
+++ b/src/node/DispatchEntry.cpp
@@ -12,8 +12,7 @@
     constexpr Duration announceTimeout { 1000 };
     constexpr Duration announceRetry { 500 };
 
-    /// Requests are answered from a view that is at most this old, so an entry that is cut off from the store for
-    /// longer sends callers elsewhere.
+    /// Incarnations stay exact as JSON numbers.
     constexpr size_t incarnationBits = 48;
 
 } // namespace
@@ -33,8 +32,7 @@
 
 DispatchEntry::DispatchEntry(EventLoop& loop, dispatch::JournalService& reads, dispatch::JournalService& writes,
     dispatch::JournalService& callerWrites, Settings settings)
-    : m_loop(loop)
-    , m_settings(std::move(settings))
+    : m_settings(std::move(settings))
     , m_incarnation(randomIncarnation())
     , m_delays(loop)
     , m_callerWrites(callerWrites)
--- a/src/node/DispatchEntry.h
+++ b/src/node/DispatchEntry.h
@@ -55,7 +55,6 @@
     void acquired(bool formerStopped);
     void lost();
 
-    EventLoop& m_loop;
     Settings m_settings;
     uint64_t m_incarnation;
     BootClock m_clock;
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -79,6 +79,20 @@
         EXPECT_FALSE(isRefused(R"({"spec": "x", "steps": [{"count": 2, "cpu": 500, "new": {}}]})"));
     }
 
+    // Guards against jobs that are accepted although a part of them would not be honoured.
+    TEST_F(PlatformTest, job_withUnsupportedPart_isNamed)
+    {
+        dispatch::QueueTerms terms;
+        dispatch::JobSpec spec;
+        spec.steps.emplace_back();
+        EXPECT_EQ(dispatch::unsupportedPart(terms, spec), "");
+        spec.steps[0].gang = true;
+        EXPECT_EQ(dispatch::unsupportedPart(terms, spec), "gangs");
+        spec.steps[0].gang = false;
+        terms.needsAdvice = true;
+        EXPECT_EQ(dispatch::unsupportedPart(terms, spec), "queues with advice");
+    }
+
     // Guards against status reports of another writer that change what is known of the worker.
     TEST_F(PlatformTest, announcement_unreadable_namesNoWorker)
     {
