--- a/src/dispatch/JobDesk.cpp
+++ b/src/dispatch/JobDesk.cpp
@@ -2,8 +2,16 @@
 
 #include "base/Log.h"
 
+#include <array>
+
 namespace hemlocklead::dispatch {
 
+std::string_view answerName(DeskAnswer answer)
+{
+    constexpr std::array<std::string_view, 5> names { "done", "not-done", "unknown", "no-such-job", "not-ready" };
+    return names[static_cast<size_t>(answer)];
+}
+
 JobDesk::JobDesk(JobBook& book, JournalFollower& follower, JournalService& journal, Delays& delays, const Clock& clock,
     Counters& counters, Settings settings)
     : m_book(book)
@@ -21,11 +29,16 @@
     return m_follower.isCaughtUp() && m_clock.now() - m_follower.freshAsOf() <= m_settings.viewAge;
 }
 
+bool JobDesk::isStoreAway() const { return m_clock.now() - m_follower.freshAsOf() > m_settings.storeSilence; }
+
 void JobDesk::submit(
     const std::string& id, const QueueTerms& terms, const JobSpec& spec, Instant deadline, Callback done)
 {
     if (m_book.find(id))
         return done(DeskAnswer::Done);
+    // Another entry may reach the store, so the caller's next try should come now and not at its deadline.
+    if (isStoreAway())
+        return done(DeskAnswer::NotDone);
     auto append = std::make_shared<Append>();
     append->record = { jobKey(id), jobValue(terms, spec), 0 };
     append->deadline = deadline - m_settings.reserve;
@@ -67,7 +80,7 @@
     // A refusal is passed on at once: the caller's next try reaches another entry, which the store may serve.
     if (!append->mayBeRecorded)
         return append->done(DeskAnswer::NotDone);
-    if (m_clock.now() + m_settings.retry >= append->deadline)
+    if (isStoreAway() || m_clock.now() + m_settings.retry >= append->deadline)
         return append->done(DeskAnswer::Unknown);
     // The record is the same whenever it arrives, so a second copy does no harm.
     m_delays.after(m_settings.retry, [this, append] { send(append); });
--- a/src/dispatch/JobDesk.h
+++ b/src/dispatch/JobDesk.h
@@ -13,6 +13,8 @@
     NotReady, ///< This entry's view of the jobs is too old to tell.
 };
 
+std::string_view answerName(DeskAnswer answer);
+
 /// Serves callers of jobs from this entry's copy of the journal and records what they hand in.
 ///
 /// Any entry accepts: a job is accepted once its record is durable, whoever owns the jobs at that time.
@@ -22,6 +24,8 @@
         Duration appendTimeout { 700 }; ///< For one answer; several tries fit in a caller's time.
         Duration retry { 100 };
         Duration reserve { 250 }; ///< Kept of the caller's time for the answer's way back.
+        Duration storeSilence { 1600 }; ///< A view older than this means that the store does not answer: reads wait for
+                                        ///< at most 1 s.
         Duration viewAge { 2500 }; ///< An older view does not tell whether a job exists.
     };
 
@@ -32,7 +36,8 @@
 
     using Callback = std::function<void(DeskAnswer)>;
 
-    /// Accepts a job. A job of the same id that was accepted before stays as it is.
+    /// Accepts a job, or refuses it at once while the store does not answer. A job of the same id that was accepted
+    /// before stays as it is.
     void submit(const std::string& id, const QueueTerms& terms, const JobSpec& spec, Instant deadline, Callback done);
 
     /// Records that the job is cancelled.
@@ -55,6 +60,7 @@
         bool mayBeRecorded { false };
     };
 
+    bool isStoreAway() const;
     void send(const std::shared_ptr<Append>& append);
     void answered(const std::shared_ptr<Append>& append, AppendStatus status);
 
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -397,6 +397,7 @@
         spec.steps = { step(1, 1000) };
         std::optional<DeskAnswer> answer;
         const auto keep = [&](DeskAnswer given) { answer = given; };
+        m_delays.run(Duration { 50 });
         m_journal.mode = MemoryJournal::Mode::Refusing;
         desk.submit("job-1", terms, spec, m_clock.now() + Duration { 3000 }, keep);
         EXPECT_EQ(answer, DeskAnswer::NotDone);
@@ -410,6 +411,26 @@
         EXPECT_EQ(answer, DeskAnswer::Unknown);
     }
 
+    // Load pattern: the store turns one entry away and serves the others. Guards against callers that are held until
+    // their deadline although the entry knows that it cannot record anything.
+    TEST_F(DispatcherTest, submit_storeAway_isRefusedAtOnce)
+    {
+        Entry entry("entry-1", m_journal, m_delays, m_clock);
+        JobDesk desk(entry.book, entry.follower, m_journal, m_delays, m_clock, entry.counters, {});
+        JobSpec spec;
+        spec.steps = { step(1, 1000) };
+        std::optional<DeskAnswer> answer;
+        const auto keep = [&](DeskAnswer given) { answer = given; };
+        m_delays.run(Duration { 50 });
+        m_journal.mode = MemoryJournal::Mode::Refusing;
+        m_delays.run(Duration { 2000 });
+        const int appends = m_journal.appends;
+        m_journal.mode = MemoryJournal::Mode::LosingAnswers;
+        desk.submit("job-1", {}, spec, m_clock.now() + Duration { 3000 }, keep);
+        EXPECT_EQ(answer, DeskAnswer::NotDone);
+        EXPECT_EQ(m_journal.appends, appends);
+    }
+
     // Guards against "no such job" from an entry whose view is too old to know.
     TEST_F(DispatcherTest, phase_viewTooOld_isNotReadyInsteadOfNoSuchJob)
     {
