--- a/scripts/run-ctest.sh
+++ b/scripts/run-ctest.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
-# Runs the tests of a build folder. Tests listed in KNOWN-RED.txt (lines `test: NAME`) are printed and left out.
+# Runs the tests of a build folder. Tests listed in KNOWN-RED.txt (lines `test: NAME`) are printed and
+# left out; findings of the users' bench (lines `bench: COMMAND`) are printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
 options=(--output-on-failure -j 6 --no-tests=error)
 if [ -s KNOWN-RED.txt ]; then
-    echo "Left out, see KNOWN-RED.txt:"
-    sed -n 's/^test: /  /p' KNOWN-RED.txt
+    echo "Known red, see KNOWN-RED.txt (tests are left out):"
+    sed -nE 's/^(test|bench): /  /p' KNOWN-RED.txt
     names=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|')
     [ -z "$names" ] || options+=(-E "^($names)\$")
 fi
