--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -56,16 +56,14 @@
 
 void Dispatcher::adoptRuns(Job& job)
 {
-    const Instant now = m_clock.now();
-    job.noteEvent(now);
+    job.noteEvent(m_clock.now());
     for (auto& [number, occurrence] : job.occurrences()) {
         for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            std::vector<TaskState>& tasks = occurrence.steps[step].tasks;
+            const std::vector<TaskState>& tasks = occurrence.steps[step].tasks;
             for (uint32_t index = 0; index < tasks.size(); ++index) {
-                TaskState& task = tasks[index];
+                const TaskState& task = tasks[index];
                 if (task.phase != TaskPhase::Placed)
                     continue;
-                task.placedAt = now;
                 HostView& host = m_hosts.host(task.host);
                 m_hosts.add(host, { job.id(), number, step, index }, task.attempt, job.spec().steps[step],
                     HostRun::Stage::Adopted);
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -55,8 +55,6 @@
     /// Drops everything; another entry decides now.
     void end();
 
-    bool isActive() const { return m_active; }
-
     void hostConnected(const std::string& host);
     void hostDisconnected(const std::string& host);
     void hostReported(const std::string& host, const HostReport& report);
@@ -75,8 +73,6 @@
     void hostChanged(const std::string& host) override;
     void bookReset() override;
 
-    HostBook& hostBook() { return m_hosts; }
-
 private:
     /// An end that becomes durable with a commit.
     struct Ack {
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -117,7 +117,6 @@
     ++task.attempt;
     task.host = host.name;
     task.life = host.last.life;
-    task.placedAt = now;
     task.percent = 0;
     job.setTaskPhase(id, TaskPhase::Placed);
     if (!job.hasBegun())
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -2,7 +2,6 @@
 #include "dispatch/Dispatcher.h"
 
 #include <algorithm>
-#include <cassert>
 
 namespace hemlocklead::dispatch {
 
@@ -97,9 +96,8 @@
     for (const auto& [name, run] : host.runs) {
         Job* job = m_book.find(run.task.job);
         const TaskState* task = job ? job->find(run.task) : nullptr;
-        const bool ordered = run.stage == HostRun::Stage::Ordered || run.stage == HostRun::Stage::Adopted;
         const bool listed = findRow(report.running, name, run.attempt) || findRow(report.pending, name, run.attempt);
-        if (ordered && !listed && (!task || task->life != report.life))
+        if (run.isOrdered() && !listed && (!task || task->life != report.life))
             lost.push_back(name);
     }
     for (const std::string& name : lost)
@@ -214,9 +212,8 @@
 void Dispatcher::stopRun(HostView& host, HostRun& run)
 {
     run.stopping = true;
-    const bool ordered = run.stage == HostRun::Stage::Ordered || run.stage == HostRun::Stage::Adopted;
     // A run that was not ordered yet is dropped instead when its record is durable.
-    if (!ordered || !host.connected)
+    if (!run.isOrdered() || !host.connected)
         return;
     run.stopSentAt = m_clock.now();
     host.outbox.stops.push_back({ run.task.text(), run.attempt });
@@ -228,9 +225,8 @@
         noteRunning(host, row);
     std::vector<std::string> lost;
     for (const auto& [name, run] : host.runs) {
-        const bool notOrdered = run.stage == HostRun::Stage::Recording || run.stage == HostRun::Stage::Committing;
         const bool underWay = run.stage == HostRun::Stage::Ordered && run.sequence > report.settledOrders;
-        if (notOrdered || underWay || findRow(report.running, name, run.attempt)
+        if (!run.isOrdered() || underWay || findRow(report.running, name, run.attempt)
             || findRow(report.pending, name, run.attempt))
             continue;
         lost.push_back(name);
@@ -303,7 +299,7 @@
 {
     std::vector<std::string> lost;
     for (const auto& [name, run] : host.runs) {
-        if (run.stage == HostRun::Stage::Ordered || run.stage == HostRun::Stage::Adopted)
+        if (run.isOrdered())
             lost.push_back(name);
     }
     for (const std::string& name : lost)
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -3,7 +3,6 @@
 #include "base/Log.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace hemlocklead::dispatch {
--- a/src/dispatch/HostBook.h
+++ b/src/dispatch/HostBook.h
@@ -32,6 +32,9 @@
     bool seen { false }; ///< The worker has listed it.
     bool stopping { false };
     Instant stopSentAt {};
+
+    /// Whether its order went out, so that it may be on the worker.
+    bool isOrdered() const { return stage == Stage::Ordered || stage == Stage::Adopted; }
 };
 
 /// The serving tasks of one image on a host.
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -31,7 +31,6 @@
     std::string checkpoint; ///< Where the next run resumes.
 
     // Memory of the owner only, not recorded.
-    Instant placedAt {}; ///< When this owner placed the run, or learned of it.
     Instant notBefore {}; ///< A refused or failed task is not tried again earlier.
     int64_t percent { 0 };
 
@@ -111,9 +110,6 @@
     /// Replaces the progress by that of a record. Rows that do not fit the spec are skipped.
     void applyRecord(const Json& record);
 
-    /// Drops the state of tasks of an ended job, which nobody asks for.
-    void releaseTasks() { m_occurrences.clear(); }
-
 private:
     void recount();
 
--- a/src/node/DispatchEntry.cpp
+++ b/src/node/DispatchEntry.cpp
@@ -83,7 +83,7 @@
     m_dispatcher.begin(formerStopped);
     routesChanged();
     m_links.maintain(m_writer.epoch());
-    m_passTimer.startRepeating(m_settings.pass, [this] { pass(); });
+    m_passTimer.startRepeating(m_settings.pass, [this] { m_dispatcher.pass(); });
 }
 
 void DispatchEntry::lost()
@@ -96,8 +96,6 @@
     m_follower.restart();
 }
 
-void DispatchEntry::pass() { m_dispatcher.pass(); }
-
 void DispatchEntry::routesChanged()
 {
     m_dispatcher.setTerms(m_routes.terms());
--- a/src/node/DispatchEntry.h
+++ b/src/node/DispatchEntry.h
@@ -51,7 +51,6 @@
 
     void announce();
     void keepHouse();
-    void pass();
     void acquired(bool formerStopped);
     void lost();
 
