Learn what filling tasks take from serving ones from all tails at once

Cause: agents counted looks far under and over the target. The load of a serving image's users rises and falls by itself, which pushed the counts of every filling image up and down with it, and each agent counted alone. Change: agents report tails; the owner keeps, per serving image, the headroom (target over tail) that its users leave and what one core of each filling image takes from it, both by a Kalman filter without covariances. Placement weighs the forecast, and the owner tells agents which images are the likely offenders. The table of counts is gone; the owner no longer adds up cumulative counts at each report.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -130,6 +130,7 @@
     host.reported = false;
     host.nextSequence = 1;
     host.outbox = {};
+    host.toldDisturbances.clear();
 }
 
 void Dispatcher::hostDisconnected(const std::string& name)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -110,7 +110,8 @@
     void runLost(HostView& host, const std::string& task, std::string_view reason);
     void loseRuns(HostView& host, std::string_view reason);
     void evacuateDraining(HostView& host);
-    void noteHarm(const HostView& from, const HarmReport& pair);
+    void learnDisturbance(HostView& host, const HostReport& report);
+    void tellDisturbances(HostView& host);
     void finishIfDone(Job& job);
     void endJob(Job& job, JobPhase phase);
     void stopRuns(Job& job);
@@ -140,7 +141,7 @@
     Counters& m_counters;
     Settings m_settings;
     HostBook m_hosts;
-    HarmTable m_harm;
+    DisturbanceModel m_disturbance;
     StartEjector m_ejector;
     std::set<std::string> m_closedDataCentres;
     std::map<std::string, QueueTerms> m_terms;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -17,7 +17,7 @@
         return std::pair(a->terms().priority, a->offset()) < std::pair(b->terms().priority, b->offset());
     });
     for (auto& [name, host] : m_hosts.hosts())
-        host.refreshDisturbed(m_harm);
+        host.refreshDisturbed(m_disturbance);
     const PlacementView view = placementView();
     for (Job* job : jobs)
         placeJob(*job, view);
@@ -28,7 +28,7 @@
     const Instant now = m_clock.now();
     return { m_hosts.hosts(), m_closedDataCentres,
         [this, now](const std::string& host) { return m_ejector.isEjected(host, now); }, now, m_settings.maxReportAge,
-        m_harm };
+        m_disturbance };
 }
 
 void Dispatcher::placeJob(Job& job, const PlacementView& view)
@@ -122,7 +122,7 @@
     if (!job.hasBegun())
         job.setPhase(JobPhase::Running);
     m_hosts.add(host, id, task.attempt, job.spec().steps[id.step], HostRun::Stage::Recording);
-    host.refreshDisturbed(m_harm);
+    host.refreshDisturbed(m_disturbance);
     m_starts.push_back({ host.name, id, task.attempt });
     m_ejector.notePlaced(host.name, now);
     m_counters.add("starts");
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlocklead::dispatch {
 
@@ -17,6 +18,9 @@
     /// A task whose end is nearer than this is left to finish on a host that drains.
     constexpr int64_t drainSlackMs = 500;
 
+    /// A serving task that has just begun is slow by itself.
+    constexpr Duration servingWarmUp { 3000 };
+
 } // namespace
 
 void Dispatcher::hostReported(const std::string& name, const HostReport& report)
@@ -39,10 +43,7 @@
     host.last.pending.clear();
     host.last.ends.clear();
     host.last.refusals.clear();
-    host.last.harm.clear();
     host.reportedAt = m_clock.now();
-    for (const HarmReport& pair : report.harm)
-        noteHarm(host, pair);
     for (const RunEnd& end : report.ends)
         applyEnd(host, end);
     for (const RunRefusal& refusal : report.refusals)
@@ -51,6 +52,7 @@
         loseRuns(host, "worker_lapsed");
     else if (report.full && !report.silent)
         reconcile(host, report);
+    learnDisturbance(host, report);
     host.reported = true;
     if (report.draining)
         evacuateDraining(host);
@@ -64,19 +66,45 @@
     }
 }
 
-void Dispatcher::noteHarm(const HostView& from, const HarmReport& pair)
+void Dispatcher::learnDisturbance(HostView& host, const HostReport& report)
 {
-    // Half of what a host counted goes into the common table: several hosts report the same pair.
-    m_harm.note(pair.serving, pair.filling, pair.harmful / 2, pair.harmless / 2);
-    const HarmTable::Entry& known = m_harm.entries()[{ pair.serving, pair.filling }];
-    for (auto& [name, host] : m_hosts.hosts()) {
-        host.disturbedIsStale = true;
-        if (name == from.name)
-            continue;
-        std::erase_if(host.outbox.harm, [&](const HarmReport& waiting) {
-            return waiting.serving == pair.serving && waiting.filling == pair.filling;
-        });
-        host.outbox.harm.push_back({ pair.serving, pair.filling, known.harmful, known.harmless });
+    const Instant now = m_clock.now();
+    host.disturbedIsStale = true;
+    host.fillingUse.update(host.fillingCores(), now);
+    if (host.fillingUse.isSettling())
+        return;
+    for (const RunReport& row : report.running) {
+        const auto run = host.runs.find(row.task);
+        const bool isWarm = run != host.runs.end() && run->second.seen && now - run->second.seenAt >= servingWarmUp;
+        if (isWarm && row.tailPerMille > 0) {
+            const double ratio = static_cast<double>(row.tailPerMille) / 1000;
+            m_disturbance.observe(run->second.image, ratio, host.fillingUse.cores(), now);
+        }
+    }
+    tellDisturbances(host);
+}
+
+void Dispatcher::tellDisturbances(HostView& host)
+{
+    // Smaller changes do not alter what an agent does.
+    constexpr double noticeable = DisturbanceModel::priorTaken / 5;
+    std::set<std::string> serving;
+    std::set<std::string> filling;
+    for (const auto& [task, run] : host.runs) {
+        if (run.lasting)
+            serving.insert(run.image);
+        if (run.fills)
+            filling.insert(run.image);
+    }
+    for (const std::string& served : serving) {
+        for (const std::string& filler : filling) {
+            const double taken = m_disturbance.pair(served, filler).taken;
+            const auto told = host.toldDisturbances.try_emplace({ served, filler }, DisturbanceModel::priorTaken).first;
+            if (std::abs(taken - told->second) < noticeable)
+                continue;
+            told->second = taken;
+            host.outbox.disturbances.push_back({ served, filler, taken });
+        }
     }
 }
 
@@ -264,6 +292,8 @@
     HostRun& known = run->second;
     if (!known.seen && known.stage == HostRun::Stage::Adopted)
         host.outbox.known.push_back(describe(*job, *id, *task));
+    if (!known.seen)
+        known.seenAt = m_clock.now();
     known.seen = true;
     host.setPace(known, row.pace);
     task->percent = row.percent;
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -80,8 +80,8 @@
     const bool sameLife = orders.life == m_life;
     if (sameLife && orders.echoMs > 0)
         m_leaseUntilMs = std::max<int64_t>(m_leaseUntilMs, orders.echoMs + m_settings.lease.count());
-    for (const HarmReport& pair : orders.harm)
-        m_pace.harm().merge(pair.serving, pair.filling, pair.harmful, pair.harmless);
+    for (const PairDisturbance& pair : orders.disturbances)
+        m_pace.setDisturbance(pair.serving, pair.filling, pair.takenPerCore);
     for (const RunOrder& known : orders.known)
         m_known.insert_or_assign(known.task, known);
     for (const RunOrder& order : orders.starts) {
@@ -281,6 +281,7 @@
         if (order.tailTargetMs > 0) {
             const double ratio = static_cast<double>(run.figure) / static_cast<double>(order.tailTargetMs);
             serving.push_back({ order.task, order.image, ratio });
+            run.report.tailPerMille = run.figure * 1000 / order.tailTargetMs;
         }
         if (order.fills) {
             filling.push_back({ order.task, order.image, static_cast<double>(order.cpuMilli) / 1000 });
@@ -299,20 +300,6 @@
     }
 }
 
-std::vector<HarmReport> HostAgent::takeChangedHarm()
-{
-    // Fewer new looks do not alter a placement.
-    constexpr double noticeable = 2;
-    std::vector<HarmReport> changed;
-    for (auto& [pair, entry] : m_pace.harm().entries()) {
-        if (entry.unreported < noticeable)
-            continue;
-        entry.unreported = 0;
-        changed.push_back({ pair.first, pair.second, entry.harmful, entry.harmless });
-    }
-    return changed;
-}
-
 void HostAgent::beginLife(int64_t life)
 {
     LogEvent(LogLevel::Info, "worker_life").field("life", life).field("former", m_life);
@@ -371,7 +358,6 @@
             message.pending.push_back({ open.order.task, open.order.attempt, "", 0 });
     }
     message.ends = m_ends;
-    message.harm = takeChangedHarm();
     message.refusals = std::exchange(m_refusals, {});
     m_sender.send(message);
 }
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -90,7 +90,6 @@
     void refuse(const RunOrder& order, const std::string& reason);
     void stopRun(const RunStop& stop, int triesLeft);
     void controlPace();
-    std::vector<HarmReport> takeChangedHarm();
     uint64_t settledOrders() const;
     void report(bool full);
 
--- a/src/dispatch/HostBook.cpp
+++ b/src/dispatch/HostBook.cpp
@@ -17,7 +17,17 @@
     return found == m_hosts.end() ? nullptr : &found->second;
 }
 
-void HostView::refreshDisturbed(const HarmTable& harm)
+CoresByImage HostView::fillingCores() const
+{
+    CoresByImage cores;
+    for (const auto& [task, run] : runs) {
+        if (run.fills)
+            cores[run.image] += static_cast<double>(run.usageMilli * run.pace) / 100 / 1000;
+    }
+    return cores;
+}
+
+void HostView::refreshDisturbed(const DisturbanceModel& model)
 {
     if (!disturbedIsStale)
         return;
@@ -27,12 +37,9 @@
         if (run.lasting)
             ++disturbed[run.image].tasks;
     }
-    for (auto& [serving, group] : disturbed) {
-        for (const auto& [task, run] : runs) {
-            if (run.fills)
-                group.probability = std::max(group.probability, harm.probability(serving, run.image));
-        }
-    }
+    const CoresByImage filling = fillingCores();
+    for (auto& [serving, group] : disturbed)
+        group.forecast = model.forecast(serving, filling);
 }
 
 void HostView::setPace(HostRun& run, int64_t pace)
--- a/src/dispatch/HostBook.h
+++ b/src/dispatch/HostBook.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "dispatch/HarmTable.h"
 #include "dispatch/JobSpec.h"
+#include "dispatch/SmoothedUse.h"
 #include "protocol/DispatchMessages.h"
 
 #include <map>
@@ -30,6 +30,7 @@
     bool lasting { false };
     std::string image;
     bool seen { false }; ///< The worker has listed it.
+    Instant seenAt {}; ///< When it was listed first.
     bool stopping { false };
     Instant stopSentAt {};
 
@@ -40,7 +41,7 @@
 /// The serving tasks of one image on a host.
 struct Disturbed {
     uint32_t tasks { 0 };
-    double probability { 0 }; ///< That the worst filling task on the host pushes them over their target.
+    DisturbanceModel::Forecast forecast; ///< Of their headroom beside the filling tasks on the host.
 };
 
 /// A worker host as the owner sees it.
@@ -59,6 +60,8 @@
     int64_t lastingMilli { 0 }; ///< Declared processors of the lasting ones.
     std::map<std::string, Disturbed> disturbed; ///< By serving image.
     bool disturbedIsStale { true };
+    SmoothedUse fillingUse;
+    std::map<std::pair<std::string, std::string>, double> toldDisturbances; ///< To the agent, by pair of images.
     uint64_t endsApplied { 0 }; ///< Of the present life.
     uint64_t endsDurable { 0 };
     uint64_t nextSequence { 1 };
@@ -76,14 +79,17 @@
     }
 
     /// Works `disturbed` out again after a change.
-    void refreshDisturbed(const HarmTable& harm);
+    void refreshDisturbed(const DisturbanceModel& model);
+
+    /// Processors that the filling tasks use at their present pace.
+    CoresByImage fillingCores() const;
 
     /// Sets the pace of a run and what it uses.
     void setPace(HostRun& run, int64_t pace);
 
     bool outboxIsEmpty() const
     {
-        return outbox.starts.empty() && outbox.stops.empty() && outbox.known.empty()
+        return outbox.starts.empty() && outbox.stops.empty() && outbox.known.empty() && outbox.disturbances.empty()
             && outbox.acknowledgedEnds >= endsDurable;
     }
 };
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -45,13 +45,14 @@
     }
 
     /// Number of serving tasks that one more task of the step is expected to push over their target, beyond those that
-    /// the host's filling tasks push over already.
-    double newlyDisturbed(const StepSpec& step, const HostView& host, const HarmTable& harm)
+    /// are over it without.
+    double newlyDisturbed(const StepSpec& step, const HostView& host, const DisturbanceModel& model)
     {
+        const double cores = static_cast<double>(step.resources.cpuMilli) / 1000;
         double tasks = 0;
         for (const auto& [serving, group] : host.disturbed) {
-            const double rise = harm.probability(serving, step.image) - group.probability;
-            tasks += std::max(rise, 0.0) * group.tasks;
+            const auto after = model.withTask(group.forecast, serving, step.image, cores);
+            tasks += (after.overProbability() - group.forecast.overProbability()) * group.tasks;
         }
         return tasks;
     }
@@ -69,7 +70,7 @@
         int64_t cost = host.free().cpuMilli;
         if (step.fills) {
             cost = step.resources.cpuMilli - host.leftoverMilli();
-            cost += static_cast<int64_t>(newlyDisturbed(step, host, view.harm) * harmPenalty);
+            cost += static_cast<int64_t>(newlyDisturbed(step, host, view.disturbance) * harmPenalty);
         }
         if (host.name == needs.avoidHost)
             cost += avoidPenalty;
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "dispatch/HarmTable.h"
 #include "dispatch/HostBook.h"
 
 #include <functional>
@@ -23,7 +22,7 @@
     std::function<bool(const std::string& host)> isEjected;
     Instant now;
     Duration maxReportAge;
-    const HarmTable& harm;
+    const DisturbanceModel& disturbance;
 };
 
 /// Whether the host may get new runs at all.
--- a/src/dispatch/PaceControl.h
+++ b/src/dispatch/PaceControl.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
-#include "dispatch/HarmTable.h"
+#include "dispatch/DisturbanceModel.h"
 
 #include <optional>
 #include <string>
@@ -31,8 +31,7 @@
     bool operator==(const PaceOrder&) const = default;
 };
 
-/// Learns which filling tasks disturb which serving ones, and holds them still before a serving task has been over its
-/// target for too long.
+/// Holds filling tasks still before a serving task has been over its target for too long.
 ///
 /// Filling tasks run at full speed otherwise: a slower one disturbs for longer, and what decides is where it is placed.
 class PaceControl {
@@ -41,14 +40,12 @@
         Duration patience { 1900 }; ///< A task over its target for longer holds its likely offenders. Users bear it
                                     ///< for 4 s; figures lag by half a second, and a pause shows after another.
         Duration secondStep { 700 }; ///< Later every filling task is held: the offender is another one.
-        double likely { 0.25 }; ///< Probability from which a pair counts as a likely offender.
-        Duration lag { 500 }; ///< The worker's figures cover this time.
-        Duration warmUp { 3000 }; ///< A serving task that has just begun is slow by itself.
+        double likelyTaken { 0.25 }; ///< Headroom that a likely offender takes; less than between quiet and busy users.
     };
 
     explicit PaceControl(Settings settings);
 
-    /// Learns from the state of the host and returns the paces that change.
+    /// Takes the state of the host and returns the paces that change.
     std::vector<PaceOrder> update(
         const std::vector<ServingTask>& serving, const std::vector<FillingTask>& filling, Instant now);
 
@@ -58,28 +55,19 @@
     /// The pace of the task is not known; it is ordered again.
     void forget(const std::string& task) { m_held.erase(task); }
 
-    HarmTable& harm() { return m_harm; }
+    /// Each core of the filling image takes this headroom from the serving one; see DisturbanceModel.
+    void setDisturbance(const std::string& serving, const std::string& filling, double takenPerCore);
 
 private:
-    struct Watched {
-        Instant firstSeen {};
-        std::optional<Instant> overSince; ///< Since when the tail has been over its target.
-    };
-
-    using CoresByImage = std::map<std::string, double>;
-
     void dropAbsent(const std::vector<ServingTask>& serving, const std::vector<FillingTask>& filling);
-    void smoothUse(const std::vector<FillingTask>& filling, Instant now);
     void watch(const ServingTask& task, Instant now);
-    void learn(const ServingTask& task);
+    double taken(const ServingTask& task, const FillingTask& filler) const;
     bool isToBeHeld(const FillingTask& filler, const std::vector<ServingTask>& serving, Instant now) const;
 
     Settings m_settings;
-    HarmTable m_harm;
-    std::map<std::string, Watched> m_watched; ///< By serving task.
+    std::map<std::pair<std::string, std::string>, double> m_takenPerCore; ///< By serving and filling image.
+    std::map<std::string, std::optional<Instant>> m_overSince; ///< By serving task: since when it is over its target.
     std::map<std::string, bool> m_held; ///< By filling task; absent ones run at full pace.
-    CoresByImage m_use; ///< Smoothed as the figures are.
-    Instant m_updatedAt {};
 };
 
 } // namespace hemlocklead::dispatch
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -15,6 +15,7 @@
     std::string checkpoint; ///< Newest checkpoint, empty without one.
     int64_t percent { 0 }; ///< Progress, 0 to 100.
     int64_t pace { 100 }; ///< Share of its speed that the agent lets it use, in percent.
+    int64_t tailPerMille { 0 }; ///< Tail latency of a serving task in thousandths of its target; 0 while unknown.
 
     bool operator==(const RunReport&) const = default;
 };
@@ -62,14 +63,13 @@
     bool operator==(const RunStop&) const = default;
 };
 
-/// What agents learned of a pair of images; see dispatch::HarmTable.
-struct HarmReport {
+/// What the owner has learned of a pair of images; see dispatch::DisturbanceModel.
+struct PairDisturbance {
     std::string serving;
     std::string filling;
-    double harmful { 0 };
-    double harmless { 0 };
+    double takenPerCore { 0 }; ///< Headroom of the serving image.
 
-    bool operator==(const HarmReport&) const = default;
+    bool operator==(const PairDisturbance&) const = default;
 };
 
 /// Agent to owner: what the host has and runs. Sent after each look at the worker and at each change.
@@ -93,7 +93,6 @@
     std::vector<RunReport> pending;
     std::vector<RunEnd> ends;
     std::vector<RunRefusal> refusals;
-    std::vector<HarmReport> harm; ///< Pairs whose value has changed.
 };
 
 /// Owner to agent. Renews the leases on the worker and carries orders.
@@ -105,7 +104,7 @@
     std::vector<RunOrder> starts;
     std::vector<RunStop> stops;
     std::vector<RunOrder> known; ///< Descriptions of attempts that run already.
-    std::vector<HarmReport> harm; ///< What other agents learned.
+    std::vector<PairDisturbance> disturbances; ///< Of images that run on the host, where they have changed.
 };
 
 } // namespace hemlocklead
--- a/src/protocol/MessageJson.h
+++ b/src/protocol/MessageJson.h
@@ -36,15 +36,15 @@
 HEMLOCKLEAD_JSON(StateReply, sequence, serving, offset, state)
 HEMLOCKLEAD_JSON(Forward, id, method, path, body, traceparent)
 HEMLOCKLEAD_JSON(ForwardReply, id, status, body, outcome)
-HEMLOCKLEAD_JSON(RunReport, task, attempt, checkpoint, percent, pace)
+HEMLOCKLEAD_JSON(RunReport, task, attempt, checkpoint, percent, pace, tailPerMille)
 HEMLOCKLEAD_JSON(RunEnd, number, task, attempt, reason, checkpoint)
 HEMLOCKLEAD_JSON(RunRefusal, task, attempt, reason)
 HEMLOCKLEAD_JSON(RunOrder, sequence, task, attempt, payload, checkpoint, ticket, image, cpuMilli, tailTargetMs, fills)
 HEMLOCKLEAD_JSON(RunStop, task, attempt)
-HEMLOCKLEAD_JSON(HarmReport, serving, filling, harmful, harmless)
+HEMLOCKLEAD_JSON(PairDisturbance, serving, filling, takenPerCore)
 HEMLOCKLEAD_JSON(HostReport, host, epochSeen, life, clockMs, service, dataCentre, rack, labels, capacity, draining,
-    remainingMs, silent, lapsed, full, settledOrders, running, pending, ends, refusals, harm)
-HEMLOCKLEAD_JSON(HostOrders, epoch, life, echoMs, acknowledgedEnds, starts, stops, known, harm)
+    remainingMs, silent, lapsed, full, settledOrders, running, pending, ends, refusals)
+HEMLOCKLEAD_JSON(HostOrders, epoch, life, echoMs, acknowledgedEnds, starts, stops, known, disturbances)
 
 #undef HEMLOCKLEAD_JSON
 
--- a/tests/unit/HarmTest.cpp
+++ b/tests/unit/HarmTest.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <numbers>
+
 namespace hemlocklead::dispatch {
 namespace {
 
@@ -50,15 +53,79 @@
         EXPECT_TRUE(look(Duration { 4000 }, 0.4, 0.4).empty());
     }
 
+    /// Load pattern: serving tasks of one image on two hosts. Their users' load rises and falls; on one host a filling
+    /// image works beside them.
+    class DisturbanceModelTest : public testing::Test {
+    protected:
+        /// Looks at both hosts for `time`; each core beside a serving task takes `taken` from its headroom.
+        void look(Duration time, double taken)
+        {
+            const Instant end = m_now + time;
+            for (; m_now < end; m_now += Duration { 225 }) {
+                const double quiet = quietHeadroom();
+                m_model.observe("serve", 1 / quiet, {}, m_now);
+                m_model.observe("serve", 1 / std::max(quiet - taken * cores, 0.08), { { "fill", cores } }, m_now);
+            }
+        }
+
+        /// Between a third over and nearly four times the target's headroom, over 20 s.
+        double quietHeadroom() const
+        {
+            const double seconds = std::chrono::duration<double>(m_now.time_since_epoch()).count();
+            return 2.5 + 1.1 * std::sin(seconds * 2 * std::numbers::pi / 20);
+        }
+
+        double overProbability(double fillingCores) const
+        {
+            return m_model.forecast("serve", { { "fill", fillingCores } }).overProbability();
+        }
+
+        static constexpr double cores = 8;
+        Instant m_now { Duration { 1'000'000 } };
+        DisturbanceModel m_model;
+    };
+
+    // Guards against blame for the users' own load that falls on an image that does no harm.
+    TEST_F(DisturbanceModelTest, quietHeadroom_fallsWithTheUsersLoad_isNotLaidOnTheFillingImage)
+    {
+        look(Duration { 20'000 }, 0);
+        EXPECT_LT(m_model.pair("serve", "fill").taken, DisturbanceModel::priorTaken / 5);
+        EXPECT_LT(overProbability(cores), 0.2);
+    }
+
+    // Guards against placing beside a serving task what pushes it over its target; few looks must be enough.
+    TEST_F(DisturbanceModelTest, fillingImage_takesTheHeadroom_isKnownAfterTwoSeconds)
+    {
+        look(Duration { 2000 }, 0.3);
+        EXPECT_NEAR(m_model.pair("serve", "fill").taken, 0.3, 0.1);
+        EXPECT_GT(overProbability(cores), 0.5);
+    }
+
+    // Guards against a pair that keeps its first figure although it has changed.
+    TEST_F(DisturbanceModelTest, pair_changes_isLearnedAgain)
+    {
+        look(Duration { 20'000 }, 0.3);
+        look(Duration { 10'000 }, 0);
+        EXPECT_LT(m_model.pair("serve", "fill").taken, DisturbanceModel::priorTaken);
+    }
+
     // Guards against blame that falls on an image that was seen to do no harm.
-    TEST_F(HarmTest, harm_seenWithAndWithoutAnImage_isLaidOnTheOther)
+    TEST_F(DisturbanceModelTest, harm_seenWithAndWithoutAnImage_isLaidOnTheOther)
     {
         for (int i = 0; i < 20; ++i, m_now += Duration { 450 })
-            m_control.update({ { "serve", "s", 0.4 } }, { { "a", "calm", 8 } }, m_now);
+            m_model.observe("serve", 0.4, { { "calm", 8 } }, m_now);
         for (int i = 0; i < 8; ++i, m_now += Duration { 450 })
-            m_control.update({ { "serve", "s", 3.0 } }, { { "a", "calm", 8 }, { "b", "bad", 8 } }, m_now);
-        EXPECT_GT(m_control.harm().probability("s", "bad"), 0.7);
-        EXPECT_LT(m_control.harm().probability("s", "calm"), 0.4);
+            m_model.observe("serve", 3.0, { { "calm", 8 }, { "bad", 8 } }, m_now);
+        EXPECT_GT(m_model.pair("serve", "bad").taken, 2 * m_model.pair("serve", "calm").taken);
+        EXPECT_GT(m_model.pair("serve", "bad").taken * 8, 0.5);
+    }
+
+    // Guards against a figure of another writer that is no tail.
+    TEST_F(DisturbanceModelTest, tail_notKnown_teachesNothing)
+    {
+        m_model.observe("serve", 0, { { "fill", 8 } }, m_now);
+        m_model.observe("serve", -1, { { "fill", 8 } }, m_now);
+        EXPECT_EQ(m_model.pair("serve", "fill").taken, DisturbanceModel::priorTaken);
     }
 
     class HostChooserTest : public testing::Test {
@@ -80,9 +147,9 @@
         const HostView* choose(const StepSpec& step, const PlacementNeeds& needs = { "service", "", {}, "" })
         {
             for (auto& [name, host] : m_book.hosts())
-                host.refreshDisturbed(m_harm);
+                host.refreshDisturbed(m_model);
             const PlacementView view { m_book.hosts(), m_closed, [](const std::string&) { return false; }, m_now,
-                Duration { 1500 }, m_harm };
+                Duration { 1500 }, m_model };
             return chooseHost(step, needs, view, false);
         }
 
@@ -95,7 +162,7 @@
 
         Instant m_now { Duration { 1'000'000 } };
         HostBook m_book;
-        HarmTable m_harm;
+        DisturbanceModel m_model;
         std::set<std::string> m_closed;
     };
 
@@ -123,8 +190,13 @@
         serving.image = "robust";
         m_book.add(b, { "watch", 0, 0, 1 }, 1, serving, HostRun::Stage::Ordered);
         m_book.add(b, { "watch", 0, 0, 2 }, 1, serving, HostRun::Stage::Ordered);
-        m_harm.note("fragile", "batch", 20, 0);
-        m_harm.note("robust", "batch", 0, 20);
+        for (int i = 0; i < 20; ++i) {
+            const Instant seenAt = m_now + i * Duration { 450 };
+            m_model.observe("fragile", 0.5, {}, seenAt);
+            m_model.observe("fragile", 3, { { "batch", 7 } }, seenAt);
+            m_model.observe("robust", 0.5, {}, seenAt);
+            m_model.observe("robust", 0.5, { { "batch", 7 } }, seenAt);
+        }
         StepSpec filling = step(7000);
         filling.fills = true;
         filling.image = "batch";
