Start jobs in time before late ones, and let filling tasks wait for a calm host

Cause: jobs of one priority went by age, so under a burst one job after the other became late; and a filling task was placed at once although every host with room was expected to be disturbed by it, while its job had time left. Change: JobPlan works out, from declared durations and what tasks of the image took, when a step must start for its job to meet its objective. Jobs that can still meet it come first; a filling task waits for a host on which it disturbs at most 0.7 serving tasks while its job can wait.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -77,6 +77,7 @@
     m_active = false;
     m_hosts.clear();
     m_open.clear();
+    m_plans.clear();
     m_dirty.clear();
     m_acks.clear();
     m_starts.clear();
@@ -233,6 +234,7 @@
     if (!wanted || !reachable)
         return runLost(host, name, wanted ? "host_left_before_order" : "not_wanted");
     run->second.stage = HostRun::Stage::Ordered;
+    run->second.orderedAt = m_clock.now();
     run->second.sequence = host.nextSequence++;
     RunOrder order = describe(*job, start.task, *job->find(start.task));
     order.sequence = run->second.sequence;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/HostBook.h"
 #include "dispatch/HostChooser.h"
 #include "dispatch/JobBook.h"
+#include "dispatch/JobPlan.h"
 #include "dispatch/JournalWriter.h"
 
 #include <set>
@@ -40,6 +41,9 @@
         Duration stopRepeat { 600 }; ///< A stop is repeated until the run has ended.
         Duration retryDelay { 150 }; ///< Pause after a refused start, and after each failure of a lasting task.
         Duration fillPatience { 1500 }; ///< A job with nothing running overcommits a host after waiting this long.
+        Duration slackReserve { 300 }; ///< A filling task stops waiting for a better host this long before its job must
+                                       ///< go on: a start takes about 100 ms, a look 450 ms.
+        double mostDisturbed { 0.7 }; ///< Serving tasks that a filling task may disturb while its job can wait.
         Duration retention { 180'000 }; ///< Ended jobs are forgotten after this.
         size_t maxCommitBytes { 1'000'000 }; ///< The store takes 2 MiB in one append.
     };
@@ -120,6 +124,9 @@
     // Passes.
     void expireHosts();
     void place();
+    const JobPlan& planOf(const Job& job);
+    int lateness(Job& job, Instant now);
+    FillLimits fillLimits(const Job& job, uint32_t step, Instant now);
     void placeJob(Job& job, const PlacementView& view);
     void placeStep(Job& job, uint32_t occurrence, uint32_t step, const PlacementView& view);
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
@@ -142,6 +149,8 @@
     Settings m_settings;
     HostBook m_hosts;
     DisturbanceModel m_disturbance;
+    DurationBook m_durations;
+    std::map<std::string, JobPlan> m_plans; ///< Of open jobs, made when they are first placed.
     StartEjector m_ejector;
     std::set<std::string> m_closedDataCentres;
     std::map<std::string, QueueTerms> m_terms;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -7,22 +7,62 @@
 
 void Dispatcher::place()
 {
-    // Urgent queues first, then jobs by their age.
-    std::vector<Job*> jobs;
+    // Urgent queues first. Jobs that can still meet their objective come before those that are late anyway, then jobs
+    // by their age: under overload the first ones in time are worth more than all of them late.
+    using Key = std::tuple<int64_t, int, uint64_t>;
+    const Instant now = m_clock.now();
+    std::vector<std::pair<Key, Job*>> jobs;
     for (const std::string& id : m_open) {
         if (Job* job = m_book.find(id))
-            jobs.push_back(job);
+            jobs.emplace_back(Key { job->terms().priority, lateness(*job, now), job->offset() }, job);
     }
-    std::ranges::sort(jobs, [](const Job* a, const Job* b) {
-        return std::pair(a->terms().priority, a->offset()) < std::pair(b->terms().priority, b->offset());
-    });
+    std::ranges::sort(jobs, {}, [](const auto& entry) { return entry.first; });
     for (auto& [name, host] : m_hosts.hosts())
         host.refreshDisturbed(m_disturbance);
     const PlacementView view = placementView();
-    for (Job* job : jobs)
+    for (const auto& [key, job] : jobs)
         placeJob(*job, view);
 }
 
+const JobPlan& Dispatcher::planOf(const Job& job)
+{
+    const auto found = m_plans.find(job.id());
+    if (found != m_plans.end())
+        return found->second;
+    return m_plans.emplace(job.id(), makePlan(job.spec(), job.terms(), m_durations)).first->second;
+}
+
+int Dispatcher::lateness(Job& job, Instant now)
+{
+    // Lasting tasks are owed for as long as they run, and the due times of scheduled jobs are not in the plan.
+    if (job.spec().repeats > 0)
+        return 0;
+    const JobPlan& plan = planOf(job);
+    const Duration elapsed = now - job.seenAt();
+    int lateness = 0;
+    for (const auto& [number, occurrence] : job.occurrences()) {
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (job.spec().steps[step].lasting || occurrence.steps[step].waiting() == 0
+                || plan.slack(step, elapsed) >= Duration { 0 })
+                continue;
+            lateness = std::max(lateness, plan.isWorthLate(step, elapsed) ? 1 : 2);
+        }
+    }
+    return lateness;
+}
+
+FillLimits Dispatcher::fillLimits(const Job& job, uint32_t step, Instant now)
+{
+    constexpr double unlimited = 1e9;
+    FillLimits limits;
+    limits.overcommit = now - job.lastEventAt() >= m_settings.fillPatience;
+    const Duration slack = planOf(job).slack(step, now - job.seenAt());
+    // A job that is late anyway earns little and waits as well, though not for ever.
+    const bool canWait = slack > m_settings.slackReserve;
+    limits.mostDisturbed = canWait && job.spec().repeats == 0 ? m_settings.mostDisturbed : unlimited;
+    return limits;
+}
+
 PlacementView Dispatcher::placementView() const
 {
     const Instant now = m_clock.now();
@@ -84,14 +124,14 @@
     const StepSpec& spec = job.spec().steps[step];
     StepState& state = job.occurrence(occurrence).steps[step];
     PlacementNeeds needs = needsOf(job, state, spec);
-    const bool starved = view.now - job.lastEventAt() >= m_settings.fillPatience;
+    const FillLimits limits = fillLimits(job, step, view.now);
     std::string placed;
     for (uint32_t index = 0; index < state.tasks.size(); ++index) {
         TaskState& task = state.tasks[index];
         if (task.phase != TaskPhase::Waiting || view.now < task.notBefore)
             continue;
         needs.avoidHost = task.host;
-        const HostView* host = chooseHost(spec, needs, view, starved);
+        const HostView* host = chooseHost(spec, needs, view, limits);
         if (!host)
             break;
         ++needs.tasksByHost[host->name];
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -150,8 +150,11 @@
         return;
     host.endsApplied = end.number;
     m_acks.push_back({ host.name, host.last.life, end.number });
-    if (const auto run = host.runs.find(end.task); run != host.runs.end() && run->second.attempt == end.attempt)
+    Instant orderedAt {};
+    if (const auto run = host.runs.find(end.task); run != host.runs.end() && run->second.attempt == end.attempt) {
+        orderedAt = run->second.orderedAt;
         m_hosts.remove(host, end.task);
+    }
     const std::optional<TaskId> id = parseTaskId(end.task);
     Job* job = id ? m_book.find(id->job) : nullptr;
     TaskState* task = job ? job->find(*id) : nullptr;
@@ -163,8 +166,12 @@
         .field("reason", end.reason)
         .field("number", end.number)
         .field("applied", present ? 1 : 0);
-    if (present)
-        taskEnded(*job, *task, *id, end, host);
+    if (!present)
+        return;
+    const bool wasWhole = orderedAt != Instant {} && task->checkpoint.empty();
+    if (end.reason == "done" && wasWhole)
+        m_durations.note(job->spec().steps[id->step], m_clock.now() - orderedAt);
+    taskEnded(*job, *task, *id, end, host);
 }
 
 void Dispatcher::taskEnded(Job& job, TaskState& task, const TaskId& id, const RunEnd& end, HostView& host)
@@ -211,6 +218,7 @@
     job.setPhase(phase);
     stopRuns(job);
     m_open.erase(job.id());
+    m_plans.erase(job.id());
     m_ended.emplace(job.id(), m_clock.now());
     markDirty(job);
     LogEvent(LogLevel::Info, "job_ended")
--- a/src/dispatch/HostBook.h
+++ b/src/dispatch/HostBook.h
@@ -31,6 +31,7 @@
     std::string image;
     bool seen { false }; ///< The worker has listed it.
     Instant seenAt {}; ///< When it was listed first.
+    Instant orderedAt {}; ///< By this owner.
     bool stopping { false };
     Instant stopSentAt {};
 
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -64,6 +64,13 @@
         return host.leftoverMilli() < leftNeeded;
     }
 
+    bool isWithin(const FillLimits& limits, const StepSpec& step, const HostView& host, const DisturbanceModel& model)
+    {
+        if (!limits.overcommit && wouldCrawl(step, host))
+            return false;
+        return newlyDisturbed(step, host, model) <= limits.mostDisturbed;
+    }
+
     /// Lower is better.
     int64_t cost(const StepSpec& step, const PlacementNeeds& needs, const HostView& host, const PlacementView& view)
     {
@@ -90,7 +97,7 @@
 }
 
 const HostView* chooseHost(
-    const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, bool overcommit)
+    const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, const FillLimits& limits)
 {
     const Resources needed = reservation(step);
     const HostView* best = nullptr;
@@ -100,7 +107,7 @@
             continue;
         if (!withinHostLimit(step, needs, host))
             continue;
-        if (step.fills && !overcommit && wouldCrawl(step, host))
+        if (step.fills && !isWithin(limits, step, host, view.disturbance))
             continue;
         const int64_t hostCost = cost(step, needs, host, view);
         if (!best || hostCost < bestCost) {
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -25,6 +25,12 @@
     const DisturbanceModel& disturbance;
 };
 
+/// What a task that fills must put up with.
+struct FillLimits {
+    bool overcommit { false }; ///< Takes a host that leaves it little.
+    double mostDisturbed { 0 }; ///< Serving tasks that it may push over their target.
+};
+
 /// Whether the host may get new runs at all.
 bool isUsable(const HostView& host, const PlacementView& view);
 
@@ -32,8 +38,8 @@
 ///
 /// Tasks with reserved processors go where they leave the smallest hole, so that large holes stay for large tasks.
 /// Tasks that fill go where the other tasks leave most processor time and are disturbed least; they wait while no host
-/// leaves enough, unless `overcommit` is set.
+/// is within `limits`.
 const HostView* chooseHost(
-    const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, bool overcommit);
+    const StepSpec& step, const PlacementNeeds& needs, const PlacementView& view, const FillLimits& limits);
 
 } // namespace hemlocklead::dispatch
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -124,6 +124,7 @@
             terms.queue = "queue";
             terms.service = "service";
             terms.maxAttempts = attempts;
+            terms.stretch = 2;
             JobSpec spec;
             spec.payload = "payload";
             spec.steps = std::move(steps);
@@ -320,6 +321,29 @@
         EXPECT_EQ(first.sender.starts.size(), 2u);
     }
 
+    // Load pattern: more work than fits. Guards against jobs in time that wait behind one that is late anyway.
+    TEST_F(DispatcherTest, jobs_moreThanFit_thoseInTimeStartFirst)
+    {
+        Entry entry("entry-1", m_journal, m_delays, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        StepSpec whole = step(1, 8000);
+        whole.estimateMs = 1000;
+        submit("a-running", { whole });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        submit("b-late", { whole });
+        run(entry, Duration { 1200 });
+        submit("c-in-time", { whole });
+        run(entry, Duration { 100 });
+        HostReport report = reportOf("host-1");
+        report.ends = { endOf(1, entry.sender.starts[0].second, "done") };
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 100 });
+        ASSERT_EQ(entry.sender.starts.size(), 2u);
+        EXPECT_EQ(entry.sender.starts[1].second.task, "c-in-time.0.0.0");
+    }
+
     // Guards against a job that is recorded twice or lost when the store's answer is lost.
     TEST_F(DispatcherTest, appendAnswer_lost_isRepeatedUnderTheSameSequence)
     {
