Count the end of a run once over a change of owner

The former owner recorded a failed end and was stopped before it acknowledged it; the worker listed the end again, and the next owner counted it a second time, since the record said only that no run was under way. Change: a recorded end is a phase of its own, so that only a run that is placed or was taken for lost can end. Test: DispatcherTest.end_recordedByTheFormerOwner_isNotCountedAgain, failed first (phase failed, no second start).

--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -128,7 +128,7 @@
     std::string placed;
     for (uint32_t index = 0; index < state.tasks.size(); ++index) {
         TaskState& task = state.tasks[index];
-        if (task.phase != TaskPhase::Waiting || view.now < task.notBefore)
+        if (!task.isToBePlaced() || view.now < task.notBefore)
             continue;
         needs.avoidHost = task.host;
         const HostView* host = chooseHost(spec, needs, view, limits);
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -158,7 +158,7 @@
     const std::optional<TaskId> id = parseTaskId(end.task);
     Job* job = id ? m_book.find(id->job) : nullptr;
     TaskState* task = job ? job->find(*id) : nullptr;
-    const bool present = task && task->attempt == end.attempt && task->phase != TaskPhase::Done;
+    const bool present = task && task->awaitsEnd(end.attempt);
     LogEvent(LogLevel::Info, "run_ended")
         .field("host", host.name)
         .field("task", end.task)
@@ -189,7 +189,7 @@
         job.setTaskPhase(id, TaskPhase::Done);
         return finishIfDone(job);
     }
-    job.setTaskPhase(id, TaskPhase::Waiting);
+    job.setTaskPhase(id, TaskPhase::Ended);
 }
 
 void Dispatcher::taskFailed(Job& job, TaskState& task, const TaskId& id, HostView& host)
@@ -199,7 +199,7 @@
     m_ejector.noteFailure(host.name, job.id(), m_hosts.hosts().size(), now);
     const bool lasting = job.spec().steps[id.step].lasting;
     if (lasting || task.failures < job.terms().maxAttempts) {
-        job.setTaskPhase(id, TaskPhase::Waiting);
+        job.setTaskPhase(id, TaskPhase::Ended);
         return;
     }
     job.setTaskPhase(id, TaskPhase::Failed);
--- a/src/dispatch/JobState.cpp
+++ b/src/dispatch/JobState.cpp
@@ -140,7 +140,7 @@
         occurrence(number);
         TaskState* task = find({ m_id, number, row[StepColumn].get<uint32_t>(), row[IndexColumn].get<uint32_t>() });
         const int taskPhase = row[PhaseColumn].get<int>();
-        if (!task || taskPhase < 0 || taskPhase > static_cast<int>(TaskPhase::Failed))
+        if (!task || taskPhase < 0 || taskPhase > static_cast<int>(TaskPhase::Ended))
             continue;
         task->phase = static_cast<TaskPhase>(taskPhase);
         task->attempt = row[AttemptColumn].get<uint32_t>();
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -10,10 +10,11 @@
 namespace hemlocklead::dispatch {
 
 enum class TaskPhase : uint8_t {
-    Waiting, ///< No run is under way.
+    Waiting, ///< No run is under way. The last one was taken for lost; its end may still be told.
     Placed, ///< A run is recorded for a host; it may run there.
     Done,
     Failed, ///< Failed as often as the queue allows.
+    Ended, ///< No run is under way, and the end of the last one has been counted. The next run may start.
 };
 
 enum class JobPhase : uint8_t { Queued, Running, Completed, Failed, Cancelled };
@@ -35,6 +36,15 @@
     int64_t percent { 0 };
 
     bool isTouched() const { return attempt > 0; }
+
+    /// Whether a run may be placed.
+    bool isToBePlaced() const { return phase == TaskPhase::Waiting || phase == TaskPhase::Ended; }
+
+    /// Whether the end of the run of that attempt has not been counted yet.
+    bool awaitsEnd(uint32_t ofAttempt) const
+    {
+        return attempt == ofAttempt && (phase == TaskPhase::Placed || phase == TaskPhase::Waiting);
+    }
 };
 
 /// The tasks of one step of one occurrence, with counts by phase.
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -344,6 +344,34 @@
         EXPECT_EQ(entry.sender.starts[1].second.task, "c-in-time.0.0.0");
     }
 
+    // Guards against a failed run that counts twice: its end was recorded, and the worker lists it to the next owner once
+    // more, since it was not acknowledged in time.
+    TEST_F(DispatcherTest, end_recordedByTheFormerOwner_isNotCountedAgain)
+    {
+        Entry first("entry-1", m_journal, m_delays, m_clock);
+        becomeOwner(first);
+        connect(first, "host-1");
+        submit("job", { step(1, 1000) }, 2);
+        run(first, Duration { 150 });
+        ASSERT_EQ(first.sender.starts.size(), 1u);
+        first.dispatcher.setClosedDataCentres({ "a" });
+        HostReport report = reportOf("host-1");
+        report.ends = { endOf(1, first.sender.starts[0].second, "failed") };
+        first.dispatcher.hostReported("host-1", report);
+        run(first, Duration { 150 });
+
+        Entry second("entry-2", m_journal, m_delays, m_clock);
+        run(second, Duration { 2600 });
+        ASSERT_TRUE(second.ownership.isOwner());
+        second.dispatcher.hostConnected("host-1");
+        second.dispatcher.hostReported("host-1", report);
+        run(second, Duration { 150 });
+        EXPECT_EQ(second.book.find("job")->shownPhase(), JobPhase::Running);
+        ASSERT_EQ(second.sender.starts.size(), 1u);
+        EXPECT_EQ(second.sender.starts[0].second.attempt, 2u);
+        EXPECT_EQ(second.sender.acknowledged["host-1"], 1u);
+    }
+
     // Guards against a job that is recorded twice or lost when the store's answer is lost.
     TEST_F(DispatcherTest, appendAnswer_lost_isRepeatedUnderTheSameSequence)
     {
