--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -24,6 +24,7 @@
     , m_clock(clock)
     , m_counters(counters)
     , m_settings(std::move(settings))
+    , m_pace(m_settings.pace)
 {
 }
 
@@ -108,6 +109,10 @@
         return refuse(order, "draining");
     if (leaseLeft < m_settings.minStartLease.count())
         return refuse(order, "lease_short");
+    // A run starts at full pace; it would disturb until the next look.
+    const FillingTask filler { order.task, order.image, static_cast<double>(order.cpuMilli) / 1000 };
+    if (order.fills && m_pace.holds(filler, m_clock.now()))
+        return refuse(order, "held");
     const std::string key = runKey(order.task, order.attempt);
     if (m_open.contains(key))
         return;
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -35,6 +35,7 @@
         Duration stopRetry { 400 }; ///< Pause before an unanswered stop is repeated.
         double clockSlack { 1.03 }; ///< The worker's clock may be 2% slow.
         Duration lapseMargin { 300 }; ///< Timers of the worker fire late.
+        PaceControl::Settings pace {};
     };
 
     HostAgent(WorkerPort& worker, ReportSender& sender, Delays& delays, const Clock& clock, Counters& counters,
@@ -121,7 +122,7 @@
     std::vector<RunEnd> m_ends; ///< Not acknowledged yet.
     std::vector<RunRefusal> m_refusals; ///< For the next report.
     std::map<std::string, OpenStart> m_open; ///< By task and attempt.
-    PaceControl m_pace { {} };
+    PaceControl m_pace;
     std::map<std::string, RunOrder> m_known; ///< Descriptions of runs, by task.
 };
 
--- a/src/dispatch/HostBook.cpp
+++ b/src/dispatch/HostBook.cpp
@@ -17,6 +17,11 @@
     return found == m_hosts.end() ? nullptr : &found->second;
 }
 
+bool HostView::holdsFilling() const
+{
+    return std::ranges::any_of(runs, [](const auto& entry) { return entry.second.fills && entry.second.pace == 0; });
+}
+
 CoresByImage HostView::fillingCores() const
 {
     CoresByImage cores;
--- a/src/dispatch/HostBook.h
+++ b/src/dispatch/HostBook.h
@@ -82,6 +82,9 @@
     /// Works `disturbed` out again after a change.
     void refreshDisturbed(const DisturbanceModel& model);
 
+    /// Whether the agent holds a filling task for what it does to a serving one.
+    bool holdsFilling() const;
+
     /// Processors that the filling tasks use at their present pace.
     CoresByImage fillingCores() const;
 
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -68,6 +68,8 @@
     {
         if (!limits.overcommit && wouldCrawl(step, host))
             return false;
+        if (host.holdsFilling())
+            return false;
         return newlyDisturbed(step, host, model) <= limits.mostDisturbed;
     }
 
--- a/src/dispatch/PaceControl.cpp
+++ b/src/dispatch/PaceControl.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/PaceControl.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace hemlocklead::dispatch {
@@ -9,6 +10,9 @@
 
     constexpr int64_t fullPace = 100;
 
+    /// Figures are rough: a tail this near to its target may be over it.
+    constexpr double overRatio = 0.95;
+
     /// A rough figure just below the target does not show that the task is back under it.
     constexpr double underRatio = 0.9;
 
@@ -31,9 +35,10 @@
     dropAbsent(serving, filling);
     for (const ServingTask& task : serving)
         watch(task, now);
+    m_serving = serving;
     std::vector<PaceOrder> orders;
     for (const FillingTask& filler : filling) {
-        const bool hold = isToBeHeld(filler, serving, now);
+        const bool hold = holds(filler, now);
         if (hold == (pace(filler.task) == 0))
             continue;
         m_held[filler.task] = hold;
@@ -58,7 +63,7 @@
     std::optional<Instant>& overSince = m_overSince[task.task];
     if (task.tailRatio < underRatio)
         overSince.reset();
-    else if (task.tailRatio >= 1 && !overSince)
+    else if (task.tailRatio >= overRatio && !overSince)
         overSince = now;
 }
 
@@ -73,15 +78,21 @@
     return filler.cores * (told == m_takenPerCore.end() ? DisturbanceModel::priorTaken : told->second);
 }
 
-bool PaceControl::isToBeHeld(const FillingTask& filler, const std::vector<ServingTask>& serving, Instant now) const
+Duration PaceControl::patience(double tailRatio) const
+{
+    const double falls = std::log(std::max(tailRatio, 1.0)) * static_cast<double>(m_settings.decay.count());
+    return m_settings.bearable - m_settings.reaction - Duration { static_cast<int64_t>(falls) };
+}
+
+bool PaceControl::holds(const FillingTask& filler, Instant now) const
 {
-    return std::ranges::any_of(serving, [&](const ServingTask& task) {
+    return std::ranges::any_of(m_serving, [&](const ServingTask& task) {
         const auto watched = m_overSince.find(task.task);
         if (watched == m_overSince.end() || !watched->second)
             return false;
-        const Duration over = now - *watched->second;
         const bool isLikely = taken(task, filler) >= m_settings.likelyTaken;
-        return over >= m_settings.patience + (isLikely ? Duration { 0 } : m_settings.secondStep);
+        const Duration head = isLikely ? m_settings.head : Duration { 0 };
+        return now - *watched->second >= patience(task.tailRatio) - head;
     });
 }
 
--- a/src/dispatch/PaceControl.h
+++ b/src/dispatch/PaceControl.h
@@ -37,9 +37,12 @@
 class PaceControl {
 public:
     struct Settings {
-        Duration patience { 1900 }; ///< A task over its target for longer holds its likely offenders. Users bear it
-                                    ///< for 4 s; figures lag by half a second, and a pause shows after another.
-        Duration secondStep { 700 }; ///< Later every filling task is held: the offender is another one.
+        Duration bearable { 4000 }; ///< Users of a serving task bear a tail over its target for less than this.
+        Duration reaction { 1500 }; ///< From the moment at which a tail passes its target to a look that shows it
+                                    ///< (0.6 s), one more look until the time is checked, the order (0.1 s), margin.
+        Duration decay { 500 }; ///< A tail falls to a third in this time once nothing disturbs it.
+        Duration head { 450 }; ///< Likely offenders are held this much before all others: a look, so that the second
+                               ///< hold is ordered only if the first did not help.
         double likelyTaken { 0.25 }; ///< Headroom that a likely offender takes; less than between quiet and busy users.
     };
 
@@ -55,6 +58,9 @@
     /// The pace of the task is not known; it is ordered again.
     void forget(const std::string& task) { m_held.erase(task); }
 
+    /// Whether the task must stand still, or would have to if it started now.
+    bool holds(const FillingTask& filler, Instant now) const;
+
     /// Each core of the filling image takes this headroom from the serving one; see DisturbanceModel.
     void setDisturbance(const std::string& serving, const std::string& filling, double takenPerCore);
 
@@ -62,10 +68,11 @@
     void dropAbsent(const std::vector<ServingTask>& serving, const std::vector<FillingTask>& filling);
     void watch(const ServingTask& task, Instant now);
     double taken(const ServingTask& task, const FillingTask& filler) const;
-    bool isToBeHeld(const FillingTask& filler, const std::vector<ServingTask>& serving, Instant now) const;
+    Duration patience(double tailRatio) const;
 
     Settings m_settings;
     std::map<std::pair<std::string, std::string>, double> m_takenPerCore; ///< By serving and filling image.
+    std::vector<ServingTask> m_serving; ///< As last seen.
     std::map<std::string, std::optional<Instant>> m_overSince; ///< By serving task: since when it is over its target.
     std::map<std::string, bool> m_held; ///< By filling task; absent ones run at full pace.
 };
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -344,8 +344,8 @@
         EXPECT_EQ(entry.sender.starts[1].second.task, "c-in-time.0.0.0");
     }
 
-    // Guards against a failed run that counts twice: its end was recorded, and the worker lists it to the next owner once
-    // more, since it was not acknowledged in time.
+    // Guards against a failed run that counts twice: its end was recorded, and the worker lists it to the next owner
+    // once more, since it was not acknowledged in time.
     TEST_F(DispatcherTest, end_recordedByTheFormerOwner_isNotCountedAgain)
     {
         Entry first("entry-1", m_journal, m_delays, m_clock);
--- a/tests/unit/HarmTest.cpp
+++ b/tests/unit/HarmTest.cpp
@@ -45,6 +45,44 @@
         EXPECT_EQ(later[0], (PaceOrder { "fill", 100 }));
     }
 
+    // Guards against HARM when everything comes late: the figure shows the tail after half a second, looks are 0.6 s
+    // apart, and the offender is an image that is thought to be harmless.
+    TEST_F(HarmTest, servingTask_disturbedByAnImageThoughtHarmless_isHeldBeforeFourSeconds)
+    {
+        m_control.setDisturbance("s", "f", 0);
+        look(Duration { 3000 }, 0.4, 0.4);
+        const Instant over = m_now - Duration { 599 };
+        while (m_control.pace("fill") > 0 && m_now - over < Duration { 6000 }) {
+            const double shown = m_now - over < Duration { 500 } ? 0.4 : 3.0;
+            m_control.update({ { "serve", "s", shown } }, { { "fill", "f", 8 } }, m_now);
+            m_now += Duration { 600 };
+        }
+        EXPECT_LT(m_now - Duration { 600 } - over, Duration { 3700 });
+    }
+
+    // Guards against HARM from tasks that start one after the other on a host whose tasks are held: each starts at full
+    // pace and would disturb until the next look.
+    TEST_F(HarmTest, fillingTask_toStartWhileOthersAreHeld_isHeldToo)
+    {
+        const FillingTask next { "next", "f", 8 };
+        look(Duration { 3000 }, 0.4, 0.4);
+        EXPECT_FALSE(m_control.holds(next, m_now));
+        look(Duration { 3000 }, 3.0, 3.0);
+        EXPECT_TRUE(m_control.holds(next, m_now));
+        look(Duration { 900 }, 0.4, 0.4);
+        EXPECT_FALSE(m_control.holds(next, m_now));
+    }
+
+    // Guards against HARM by a tail that is so far over its target that it takes a second to fall.
+    TEST_F(HarmTest, servingTask_farOverItsTarget_holdsEarlier)
+    {
+        look(Duration { 3000 }, 0.4, 0.4);
+        const Instant over = m_now;
+        while (m_control.pace("fill") > 0 && m_now - over < Duration { 6000 })
+            look(Duration { 450 }, 12, 0.4);
+        EXPECT_LE(m_now - over, Duration { 2000 });
+    }
+
     // Guards against throughput lost to a short spike.
     TEST_F(HarmTest, servingTask_shortSpike_holdsNothing)
     {
