Weigh a disturbed serving task as half a host, and log what a placement is expected to disturb

Change: the penalty is 30 cores; tasks_placed says how many serving tasks are expected to be disturbed and whether the step could have waited.

--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -2,9 +2,16 @@
 #include "dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlocklead::dispatch {
 
+namespace {
+
+    constexpr double unlimited = 1e9;
+
+} // namespace
+
 void Dispatcher::place()
 {
     // Urgent queues first. Jobs that can still meet their objective come before those that are late anyway, then jobs
@@ -53,7 +60,6 @@
 
 FillLimits Dispatcher::fillLimits(const Job& job, uint32_t step, Instant now)
 {
-    constexpr double unlimited = 1e9;
     FillLimits limits;
     limits.overcommit = now - job.lastEventAt() >= m_settings.fillPatience;
     const Duration slack = planOf(job).slack(step, now - job.seenAt());
@@ -126,6 +132,7 @@
     PlacementNeeds needs = needsOf(job, state, spec);
     const FillLimits limits = fillLimits(job, step, view.now);
     std::string placed;
+    double disturbed = 0;
     for (uint32_t index = 0; index < state.tasks.size(); ++index) {
         TaskState& task = state.tasks[index];
         if (!task.isToBePlaced() || view.now < task.notBefore)
@@ -135,6 +142,8 @@
         if (!host)
             break;
         ++needs.tasksByHost[host->name];
+        if (spec.fills)
+            disturbed += newlyDisturbed(spec, *host, m_disturbance);
         startTask(job, { job.id(), occurrence, step, index }, task, *host);
         placed += (placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
     }
@@ -147,6 +156,8 @@
         .field("priority", job.terms().priority)
         .field("waited_ms", static_cast<int64_t>((view.now - job.lastEventAt()).count()))
         .field("waiting", state.waiting())
+        .field("disturbed", static_cast<int64_t>(std::lround(disturbed)))
+        .field("limited", limits.mostDisturbed < unlimited ? 1 : 0)
         .field("hosts", placed);
 }
 
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -14,9 +14,9 @@
     constexpr int64_t avoidPenalty = 4'000'000;
     constexpr int64_t remotePenalty = 2'000'000;
 
-    /// Thousandths of a core of leftover that outweigh one disturbed serving task. A task over its target for others'
-    /// doing costs its users about as much as the work of some ten cores is worth.
-    constexpr double harmPenalty = 10'000;
+    /// Thousandths of a core of leftover that outweigh one disturbed serving task: about half a host. Users of such a
+    /// task lose four times what it would give them, a filling task at half speed loses half.
+    constexpr double harmPenalty = 30'000;
 
     bool hasLabel(const HostView& host, const std::string& label)
     {
@@ -44,19 +44,6 @@
         return placed == needs.tasksByHost.end() || placed->second < step.maxPerHost;
     }
 
-    /// Number of serving tasks that one more task of the step is expected to push over their target, beyond those that
-    /// are over it without.
-    double newlyDisturbed(const StepSpec& step, const HostView& host, const DisturbanceModel& model)
-    {
-        const double cores = static_cast<double>(step.resources.cpuMilli) / 1000;
-        double tasks = 0;
-        for (const auto& [serving, group] : host.disturbed) {
-            const auto after = model.withTask(group.forecast, serving, step.image, cores);
-            tasks += (after.overProbability() - group.forecast.overProbability()) * group.tasks;
-        }
-        return tasks;
-    }
-
     /// Whether a task that fills would get too little of the host to be worth a start there.
     bool wouldCrawl(const StepSpec& step, const HostView& host)
     {
@@ -91,6 +78,17 @@
 
 } // namespace
 
+double newlyDisturbed(const StepSpec& step, const HostView& host, const DisturbanceModel& model)
+{
+    const double cores = static_cast<double>(step.resources.cpuMilli) / 1000;
+    double tasks = 0;
+    for (const auto& [serving, group] : host.disturbed) {
+        const auto after = model.withTask(group.forecast, serving, step.image, cores);
+        tasks += (after.overProbability() - group.forecast.overProbability()) * group.tasks;
+    }
+    return tasks;
+}
+
 bool isUsable(const HostView& host, const PlacementView& view)
 {
     return host.connected && host.reported && host.last.life != 0 && !host.last.draining && !host.last.silent
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -31,6 +31,10 @@
     double mostDisturbed { 0 }; ///< Serving tasks that it may push over their target.
 };
 
+/// Number of serving tasks that one more task of the step is expected to push over their target, beyond those that are
+/// over it without.
+double newlyDisturbed(const StepSpec& step, const HostView& host, const DisturbanceModel& model);
+
 /// Whether the host may get new runs at all.
 bool isUsable(const HostView& host, const PlacementView& view);
 
