--- a/src/node/DispatchAgent.cpp
+++ b/src/node/DispatchAgent.cpp
@@ -37,7 +37,7 @@
 
 void DispatchAgent::announce()
 {
-    const std::string value = dispatch::hostValue({ m_settings.address.text(), m_incarnation });
+    const std::string value = dispatch::hostValue({ m_settings.announced.text(), m_incarnation });
     m_journal.append({ { dispatch::hostKey(m_settings.host), value, 0 } }, std::nullopt, announceTimeout,
         [this](dispatch::AppendStatus status) {
             if (status != dispatch::AppendStatus::Done)
--- a/src/node/DispatchAgent.h
+++ b/src/node/DispatchAgent.h
@@ -14,7 +14,8 @@
 public:
     struct Settings {
         std::string host;
-        Address address; ///< Where owners connect.
+        Address address; ///< Listens here for owners.
+        Address announced; ///< Owners are told to connect here.
         dispatch::HostAgent::Settings agent {};
         Duration ownerSilence { 6000 }; ///< Without an owner for longer, the host is announced again.
     };
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -164,7 +164,8 @@
 {
     m_native = evhttp_request_new(&Exchange::completed, this);
     evkeyvalq* headers = evhttp_request_get_output_headers(m_native);
-    evhttp_add_header(headers, "Host", address.text().c_str());
+    if (request.header("Host").empty())
+        evhttp_add_header(headers, "Host", address.text().c_str());
     for (const HeaderField& header : request.headers)
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(m_native), request.body.data(), request.body.size());
