--- a/src/dispatch/JournalFollower.h
+++ b/src/dispatch/JournalFollower.h
@@ -42,6 +42,9 @@
     /// Whether the first pages and the records up to their end have been applied.
     bool isCaughtUp() const { return m_caughtUp; }
 
+    /// Counts how often everything was read anew.
+    uint64_t restarts() const { return m_generation; }
+
     /// Every record that the store acknowledged before this instant has been applied.
     Instant freshAsOf() const { return m_freshAsOf; }
 
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -53,6 +53,12 @@
             completeClaim();
         return;
     case Phase::Owner:
+        // The book was read anew, which dropped what was decided from it. Claiming again rebuilds everything and fences
+        // the appends that are still under way.
+        if (m_follower.restarts() != m_restartsAtClaim) {
+            m_writer.close();
+            return lost();
+        }
         if (m_writer.isIdle() && now - m_writer.provenAt() >= m_settings.beat)
             m_writer.commit({ { std::string(ownerKey), ownerValue(record(false)), 0 } }, [] {});
         return;
@@ -66,6 +72,9 @@
     const OwnerRecord& owner = m_book.owner();
     if (owner.epoch == 0 || owner.released)
         return true;
+    // This process was the owner and gave up.
+    if (owner.incarnation == m_settings.incarnation)
+        return true;
     const auto member = m_book.entries().find(owner.entry);
     // The owner's entry runs again as another process: the owner has ended.
     return member != m_book.entries().end() && member->second.incarnation != owner.incarnation;
@@ -115,11 +124,12 @@
 
 void Ownership::completeClaim()
 {
-    // Everything that the former owner recorded lies before the claim.
+    // Everything that the former owner recorded lies before the claim, but pages of the newest records come by key.
     const OwnerRecord& owner = m_book.owner();
-    if (owner.epoch != m_writer.epoch() || owner.incarnation != m_settings.incarnation)
+    if (!m_follower.isCaughtUp() || owner.epoch != m_writer.epoch() || owner.incarnation != m_settings.incarnation)
         return;
     m_phase = Phase::Owner;
+    m_restartsAtClaim = m_follower.restarts();
     m_book.setOwnEpoch(m_writer.epoch());
     m_callbacks.onAcquired(m_writer.epoch(), m_formerStopped);
 }
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -60,6 +60,7 @@
     std::optional<Instant> m_goneSince; ///< Since when the owner has been seen to be gone.
     bool m_formerStopped { false };
     bool m_claimRecorded { false };
+    uint64_t m_restartsAtClaim { 0 }; ///< Of the follower, when the ownership was acquired.
 };
 
 } // namespace hemlocklead::dispatch
--- a/tests/support/MemoryJournal.h
+++ b/tests/support/MemoryJournal.h
@@ -28,8 +28,10 @@
 
     void newest(const std::string& after, Duration, std::function<void(dispatch::NewestPage)> done) override
     {
-        if (mode == Mode::Refusing)
+        if (mode == Mode::Refusing || pagesLeft == 0)
             return done({});
+        if (pagesLeft)
+            --*pagesLeft;
         std::map<std::string, dispatch::JournalRecord> byKey;
         for (const dispatch::JournalRecord& record : m_records)
             byKey[record.key] = record;
@@ -73,6 +75,7 @@
 
     Mode mode { Mode::Normal };
     size_t pageSize { 500 };
+    std::optional<int> pagesLeft; ///< Pages of newest records that are still answered.
     uint64_t firstRetained { 0 };
     int appends { 0 };
 
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -423,6 +423,55 @@
     }
 
     // Guards against a record of another writer that ends a process or hides the records after it.
+    // Guards against an owner that keeps the ownership and decides nothing more, after the store has dropped the
+    // history that it had not read (soak seed 29).
+    TEST_F(DispatcherTest, owner_historyLost_claimsAnewAndGoesOn)
+    {
+        Entry entry("entry-1", m_journal, m_delays, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("before", { step(1, 1000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        submit("after", { step(1, 1000) });
+        m_journal.firstRetained = m_journal.size();
+        run(entry, Duration { 1000 });
+        ASSERT_TRUE(entry.ownership.isOwner());
+        entry.dispatcher.hostConnected("host-1");
+        HostReport report = reportOf("host-1");
+        report.running = { { "before.0.0.0", 1, "", 50 } };
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 2u);
+        EXPECT_EQ(entry.sender.starts[1].second.task, "after.0.0.0");
+    }
+
+    // Guards against a second run of a task: a claimant that reads the journal anew finds its claim on an early page
+    // and the runs that exist on a later one.
+    TEST_F(DispatcherTest, claimant_readsJournalAnew_decidesOnlyWhenAllIsRead)
+    {
+        append(std::string(ownerKey), ownerValue({ 1000, "entry-1", 1, false }));
+        submit("job", { step(1, 1000) });
+        append(stateKey("job"), R"({"epoch": 1000, "phase": 1, "tasks": [[0, 0, 0, 1, 1, 0, "host-1", 77]]})");
+        Entry second("entry-2", m_journal, m_delays, m_clock);
+        // Stops between the claim and the next read.
+        while (m_journal.value(std::string(ownerKey)).find("entry-2") == std::string::npos) {
+            m_delays.run(Duration { 1 });
+            second.ownership.tick();
+        }
+        m_journal.pageSize = 1;
+        m_journal.pagesLeft = 4; // host-1, host-2, job, owner
+        m_journal.firstRetained = m_journal.size();
+        run(second, Duration { 200 });
+        EXPECT_FALSE(second.ownership.isOwner());
+        m_journal.pagesLeft.reset();
+        run(second, Duration { 300 });
+        ASSERT_TRUE(second.ownership.isOwner());
+        connect(second, "host-2");
+        run(second, Duration { 300 });
+        EXPECT_TRUE(second.sender.starts.empty());
+    }
+
     TEST_F(DispatcherTest, journal_unreadableRecords_areSkippedAndCounted)
     {
         append(jobKey("bad-1"), "{");
