Look more often while tasks are held

Cause: on a loaded host filling tasks are held for about a second at a time, of which a look of 450 ms is lost before the agent sees that they may go on. Change: looks wait 150 ms at most while a task is held.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -220,7 +220,8 @@
     }
     look.acknowledgedEnds = m_acknowledged;
     // Ends that are not acknowledged yet would end the wait at once.
-    look.wait = m_fence != 0 && m_ends.empty() ? m_settings.look : Duration { 0 };
+    const Duration longest = m_pace.isHolding() ? m_settings.lookWhileHolding : m_settings.look;
+    look.wait = m_fence != 0 && m_ends.empty() ? longest : Duration { 0 };
     const SentLook sent { ++m_looks, m_clock.now(), m_connection, settledOrders() };
     m_worker.look(look, m_fence, [this, sent](WorkerState state) { looked(std::move(state), sent); });
 }
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -27,6 +27,7 @@
         std::string host;
         Duration lease { 5000 }; ///< From the echoed reading of the worker's clock.
         Duration look { 450 }; ///< Longest wait of a look; the worker's figures cover half a second.
+        Duration lookWhileHolding { 150 }; ///< Held tasks go on as soon as a figure shows that they may.
         Duration shortestLook { 40 }; ///< Pause between two looks, so that many ends cost few calls.
         Duration ackWait { 150 }; ///< Longest pause for the acknowledgement of an end before the next look.
         Duration retry { 250 }; ///< Pause after a look without an answer.
--- a/src/dispatch/PaceControl.cpp
+++ b/src/dispatch/PaceControl.cpp
@@ -29,6 +29,11 @@
     return held != m_held.end() && held->second ? 0 : fullPace;
 }
 
+bool PaceControl::isHolding() const
+{
+    return std::ranges::any_of(m_held, [](const auto& entry) { return entry.second; });
+}
+
 std::vector<PaceOrder> PaceControl::update(
     const std::vector<ServingTask>& serving, const std::vector<FillingTask>& filling, Instant now)
 {
--- a/src/dispatch/PaceControl.h
+++ b/src/dispatch/PaceControl.h
@@ -52,6 +52,9 @@
     std::vector<PaceOrder> update(
         const std::vector<ServingTask>& serving, const std::vector<FillingTask>& filling, Instant now);
 
+    /// Whether a filling task stands still.
+    bool isHolding() const;
+
     /// The pace in force, in percent.
     int64_t pace(const std::string& task) const;
 
--- a/tests/unit/HarmTest.cpp
+++ b/tests/unit/HarmTest.cpp
@@ -69,8 +69,10 @@
         EXPECT_FALSE(m_control.holds(next, m_now));
         look(Duration { 3000 }, 3.0, 3.0);
         EXPECT_TRUE(m_control.holds(next, m_now));
+        EXPECT_TRUE(m_control.isHolding());
         look(Duration { 900 }, 0.4, 0.4);
         EXPECT_FALSE(m_control.holds(next, m_now));
+        EXPECT_FALSE(m_control.isHolding());
     }
 
     // Guards against HARM by a tail that is so far over its target that it takes a second to fall.
