Report a host's runs only once they have been read

The agent reported a full list without runs; the owner took the former process's runs for lost and started them elsewhere. Change: a report is full only when the runs of the present life were read under the process's own fence. Test: HostAgentTest.ownerConnected_runsNotReadYet_reportIsNotFull, failed first.

--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -140,6 +140,8 @@
     Job* job = m_book.find(run->second.task.job);
     if (TaskState* task = job ? job->find(run->second.task) : nullptr)
         task->notBefore = m_clock.now() + m_settings.retryDelay;
+    if (refusal.reason == refusedForServing)
+        host.fillingRefusedAt = m_clock.now();
     m_counters.add("starts_refused{reason=\"" + refusal.reason + "\"}");
     runLost(host, refusal.task, refusal.reason);
 }
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -112,7 +112,7 @@
     // A run starts at full pace; it would disturb until the next look.
     const FillingTask filler { order.task, order.image, static_cast<double>(order.cpuMilli) / 1000 };
     if (order.fills && m_pace.holds(filler, m_clock.now()))
-        return refuse(order, "held");
+        return refuse(order, refusedForServing);
     const std::string key = runKey(order.task, order.attempt);
     if (m_open.contains(key))
         return;
@@ -255,6 +255,7 @@
 void HostAgent::noteState(WorkerState& state, const SentLook& sent)
 {
     m_running = std::move(state.running);
+    m_runsRead = true;
     m_settled = sent.connection == m_connection ? sent.settledOrders : 0;
     std::erase_if(m_open,
         [&](const auto& entry) { return entry.second.answeredAfter && *entry.second.answeredAfter < sent.number; });
@@ -314,6 +315,7 @@
     m_sentUntilMs = 0;
     m_acknowledged = 0;
     m_running.clear();
+    m_runsRead = false;
     m_ends.clear();
     m_open.clear();
     m_known.clear();
@@ -355,7 +357,7 @@
     message.capacity = m_announcement.capacity;
     message.draining = m_announcement.draining;
     message.remainingMs = m_announcement.remainingMs;
-    message.full = full && m_life != 0 && !message.silent;
+    message.full = full && m_life != 0 && m_runsRead && !message.silent;
     message.settledOrders = m_settled;
     if (message.full) {
         for (const WorkerRun& run : m_running)
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -119,6 +119,7 @@
     uint64_t m_looks { 0 }; ///< Looks sent.
     uint64_t m_lookTimer { 0 };
     WorkerAnnouncement m_announcement;
+    bool m_runsRead { false }; ///< `m_running` was read in the present life, under this process's fence.
     std::vector<WorkerRun> m_running;
     std::vector<RunEnd> m_ends; ///< Not acknowledged yet.
     std::vector<RunRefusal> m_refusals; ///< For the next report.
--- a/src/dispatch/HostBook.cpp
+++ b/src/dispatch/HostBook.cpp
@@ -17,8 +17,12 @@
     return found == m_hosts.end() ? nullptr : &found->second;
 }
 
-bool HostView::holdsFilling() const
+bool HostView::holdsFilling(Instant now) const
 {
+    // A look and a half: the agent's next report shows what it holds.
+    constexpr Duration refusalValid { 700 };
+    if (fillingRefusedAt && now - *fillingRefusedAt < refusalValid)
+        return true;
     return std::ranges::any_of(runs, [](const auto& entry) { return entry.second.fills && entry.second.pace == 0; });
 }
 
--- a/src/dispatch/HostBook.h
+++ b/src/dispatch/HostBook.h
@@ -62,6 +62,7 @@
     std::map<std::string, Disturbed> disturbed; ///< By serving image.
     bool disturbedIsStale { true };
     SmoothedUse fillingUse;
+    std::optional<Instant> fillingRefusedAt; ///< When the agent last refused a filling task for a serving one's sake.
     std::map<std::pair<std::string, std::string>, double> toldDisturbances; ///< To the agent, by pair of images.
     uint64_t endsApplied { 0 }; ///< Of the present life.
     uint64_t endsDurable { 0 };
@@ -82,8 +83,8 @@
     /// Works `disturbed` out again after a change.
     void refreshDisturbed(const DisturbanceModel& model);
 
-    /// Whether the agent holds a filling task for what it does to a serving one.
-    bool holdsFilling() const;
+    /// Whether the agent holds filling tasks for what they do to serving ones, or has just refused one for that.
+    bool holdsFilling(Instant now) const;
 
     /// Processors that the filling tasks use at their present pace.
     CoresByImage fillingCores() const;
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -51,13 +51,13 @@
         return host.leftoverMilli() < leftNeeded;
     }
 
-    bool isWithin(const FillLimits& limits, const StepSpec& step, const HostView& host, const DisturbanceModel& model)
+    bool isWithin(const FillLimits& limits, const StepSpec& step, const HostView& host, const PlacementView& view)
     {
         if (!limits.overcommit && wouldCrawl(step, host))
             return false;
-        if (host.holdsFilling())
+        if (host.holdsFilling(view.now))
             return false;
-        return newlyDisturbed(step, host, model) <= limits.mostDisturbed;
+        return newlyDisturbed(step, host, view.disturbance) <= limits.mostDisturbed;
     }
 
     /// Lower is better.
@@ -107,7 +107,7 @@
             continue;
         if (!withinHostLimit(step, needs, host))
             continue;
-        if (step.fills && !isWithin(limits, step, host, view.disturbance))
+        if (step.fills && !isWithin(limits, step, host, view))
             continue;
         const int64_t hostCost = cost(step, needs, host, view);
         if (!best || hostCost < bestCost) {
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -31,6 +31,9 @@
     bool operator==(const RunEnd&) const = default;
 };
 
+/// Reason of a refused start: the task would have to stand still at once, since a serving task is over its target.
+constexpr const char* refusedForServing = "held";
+
 /// A start that did not happen and will not happen.
 struct RunRefusal {
     std::string task;
--- a/tests/soak/WorkerStandIn.cpp
+++ b/tests/soak/WorkerStandIn.cpp
@@ -119,7 +119,7 @@
 {
     const auto task = body.value("task", std::string());
     const auto attempt = body.value("runId", uint32_t { 0 });
-    const HttpResponse accepted = jsonResponse(200, jsonText({ { "clockMs", clockMs() } }));
+    HttpResponse accepted = jsonResponse(200, jsonText({ { "clockMs", clockMs() } }));
     if (isFenced(body))
         return conflict("fence");
     if (const auto running = m_running.find(task); running != m_running.end())
--- a/tests/unit/HarmTest.cpp
+++ b/tests/unit/HarmTest.cpp
@@ -250,6 +250,20 @@
         EXPECT_EQ(choose(filling)->name, "a");
     }
 
+    // Guards against one refused start after the other on a host whose agent holds what fills.
+    TEST_F(HostChooserTest, fillingTask_justRefusedByTheAgent_goesElsewhere)
+    {
+        HostView& a = addHost("a", 64'000);
+        addHost("b", 32'000);
+        StepSpec filling = step(7000);
+        filling.fills = true;
+        ASSERT_EQ(choose(filling)->name, "a");
+        a.fillingRefusedAt = m_now;
+        EXPECT_EQ(choose(filling)->name, "b");
+        a.fillingRefusedAt = m_now - Duration { 1000 };
+        EXPECT_EQ(choose(filling)->name, "a");
+    }
+
     // Guards against starts on hosts that are out, leave, are silent or lack the label.
     TEST_F(HostChooserTest, unusableHosts_areNotChosen)
     {
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -128,6 +128,25 @@
         HostAgent m_agent { m_worker, m_sender, m_delays, m_clock, m_counters, { .host = "host-1" } };
     };
 
+    // Guards against a restarted agent that reports an empty host: it knows the worker's life from its first look, and
+    // has not read yet what runs there under its own fence (soak seed 103, two runs of three tasks).
+    TEST_F(HostAgentTest, ownerConnected_runsNotReadYet_reportIsNotFull)
+    {
+        HeldWorker worker;
+        KeptReports sender;
+        HostAgent agent(worker, sender, m_delays, m_clock, m_counters, { .host = "host-1" });
+        agent.start();
+        worker.looks.back().done({ WorkerState::Status::Ok, life, workerClock(), {}, {} });
+        agent.ownerConnected();
+        ASSERT_FALSE(sender.reports.empty());
+        EXPECT_FALSE(sender.reports.back().full);
+        m_delays.run(Duration { 1 });
+        worker.looks.back().done(
+            { WorkerState::Status::Ok, life, workerClock(), { { { "job.0.0.0", 1, "", 50 }, 0 } }, {} });
+        EXPECT_TRUE(sender.reports.back().full);
+        EXPECT_TRUE(lists(sender.reports.back().running, "job.0.0.0"));
+    }
+
     // Guards against a new owner that takes a run for lost which began after the agent's last look, and starts the task
     // a second time beside it.
     TEST_F(HostAgentTest, newOwner_runStartedSinceLastLook_isReportedAsPending)
