Learn durations from whole runs of tasks that save their progress, too

Cause: reading the change again: a run counted as whole only if its task had no checkpoint at its end. Tasks that save progress have one after a second, so only short ones were learned from. Change: whether a run resumed is kept from its order. A comment that told of a trial not kept is gone.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -234,7 +234,8 @@
     if (!wanted || !reachable)
         return runLost(host, name, wanted ? "host_left_before_order" : "not_wanted");
     run->second.stage = HostRun::Stage::Ordered;
-    run->second.orderedAt = m_clock.now();
+    if (job->find(start.task)->checkpoint.empty())
+        run->second.wholeSince = m_clock.now();
     run->second.sequence = host.nextSequence++;
     RunOrder order = describe(*job, start.task, *job->find(start.task));
     order.sequence = run->second.sequence;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -63,7 +63,6 @@
     FillLimits limits;
     limits.overcommit = now - job.lastEventAt() >= m_settings.fillPatience;
     const Duration slack = planOf(job).slack(step, now - job.seenAt());
-    // A job that is late anyway earns little and waits as well, though not for ever.
     const bool canWait = slack > m_settings.slackReserve;
     limits.mostDisturbed = canWait && job.spec().repeats == 0 ? m_settings.mostDisturbed : unlimited;
     return limits;
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -152,9 +152,9 @@
         return;
     host.endsApplied = end.number;
     m_acks.push_back({ host.name, host.last.life, end.number });
-    Instant orderedAt {};
+    std::optional<Instant> wholeSince;
     if (const auto run = host.runs.find(end.task); run != host.runs.end() && run->second.attempt == end.attempt) {
-        orderedAt = run->second.orderedAt;
+        wholeSince = run->second.wholeSince;
         m_hosts.remove(host, end.task);
     }
     const std::optional<TaskId> id = parseTaskId(end.task);
@@ -170,9 +170,8 @@
         .field("applied", present ? 1 : 0);
     if (!present)
         return;
-    const bool wasWhole = orderedAt != Instant {} && task->checkpoint.empty();
-    if (end.reason == "done" && wasWhole)
-        m_durations.note(job->spec().steps[id->step], m_clock.now() - orderedAt);
+    if (end.reason == "done" && wholeSince)
+        m_durations.note(job->spec().steps[id->step], m_clock.now() - *wholeSince);
     taskEnded(*job, *task, *id, end, host);
 }
 
--- a/src/dispatch/HostBook.h
+++ b/src/dispatch/HostBook.h
@@ -5,6 +5,7 @@
 #include "protocol/DispatchMessages.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,7 @@
     std::string image;
     bool seen { false }; ///< The worker has listed it.
     Instant seenAt {}; ///< When it was listed first.
-    Instant orderedAt {}; ///< By this owner.
+    std::optional<Instant> wholeSince; ///< When this owner ordered it, for a run that resumes from no checkpoint.
     bool stopping { false };
     Instant stopSentAt {};
 
