--- a/src/dispatch/PaceControl.cpp
+++ b/src/dispatch/PaceControl.cpp
@@ -96,8 +96,8 @@
         if (watched == m_overSince.end() || !watched->second)
             return false;
         const bool isLikely = taken(task, filler) >= m_settings.likelyTaken;
-        const Duration head = isLikely ? m_settings.head : Duration { 0 };
-        return now - *watched->second >= patience(task.tailRatio) - head;
+        const Duration more = isLikely ? Duration { 0 } : m_settings.secondStep;
+        return now - *watched->second >= patience(task.tailRatio) + more;
     });
 }
 
--- a/src/dispatch/PaceControl.h
+++ b/src/dispatch/PaceControl.h
@@ -41,8 +41,8 @@
         Duration reaction { 1500 }; ///< From the moment at which a tail passes its target to a look that shows it
                                     ///< (0.6 s), one more look until the time is checked, the order (0.1 s), margin.
         Duration decay { 500 }; ///< A tail falls to a third in this time once nothing disturbs it.
-        Duration head { 450 }; ///< Likely offenders are held this much before all others: a look, so that the second
-                               ///< hold is ordered only if the first did not help.
+        Duration secondStep { 300 }; ///< All others are held this much after the likely offenders, if these did not
+                                     ///< help: two looks while tasks are held.
         double likelyTaken { 0.25 }; ///< Headroom that a likely offender takes; less than between quiet and busy users.
     };
 
