Refuse a start when the worker has announced another life

Calls name the life that was announced last, so the new life took them; at the look the owner took all runs of the former life for ended and started the tasks elsewhere. Change: an agent refuses starts while the life that was announced last is not the one of its last look. Test: HostAgentTest.start_workerHasAnnouncedANewLife_isRefused, failed first.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -105,6 +105,9 @@
 void HostAgent::startRun(const RunOrder& order)
 {
     const int64_t leaseLeft = m_leaseUntilMs - workerClock();
+    // The order is for the life of the last look. Calls go to the life that has announced itself last.
+    if (m_announcement.life != m_life)
+        return refuse(order, "worker_restarted");
     if (m_announcement.draining)
         return refuse(order, "draining");
     if (leaseLeft < m_settings.minStartLease.count())
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -147,6 +147,17 @@
         EXPECT_TRUE(lists(sender.reports.back().running, "job.0.0.0"));
     }
 
+    // Guards against a start that was ordered for one life of the worker and is carried out by the next one, of which
+    // the owner then thinks that it runs nothing (soak seed 29, second finding: two runs of three tasks).
+    TEST_F(HostAgentTest, start_workerHasAnnouncedANewLife_isRefused)
+    {
+        m_agent.announced({ life + 1, 1, "service", "a", "r1", { "kind", "r1" }, { 8000, 8000, 0 }, false, 0 });
+        order(7, 1, "job.0.0.0", 1);
+        EXPECT_TRUE(m_worker.starts.empty());
+        ASSERT_FALSE(lastReport().refusals.empty());
+        EXPECT_EQ(lastReport().refusals[0].reason, "worker_restarted");
+    }
+
     // Guards against a new owner that takes a run for lost which began after the agent's last look, and starts the task
     // a second time beside it.
     TEST_F(HostAgentTest, newOwner_runStartedSinceLastLook_isReportedAsPending)
