Drop casts and an unused member of the soak's ledger and worker

The ledger gives its jobs out for reading too, so two casts go; a run's processors were kept and never read.

--- a/tests/soak/RunLedger.h
+++ b/tests/soak/RunLedger.h
@@ -33,6 +33,7 @@
     Job& add(const std::string& id, Job job);
     Job* find(const std::string& id);
     std::map<std::string, Job>& jobs() { return m_jobs; }
+    const std::map<std::string, Job>& jobs() const { return m_jobs; }
 
     void accepted(const std::string& id);
     void refused(const std::string& id);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -253,7 +253,7 @@
 
 bool Soak::isFinished() const
 {
-    const auto& jobs = const_cast<RunLedger&>(m_ledger).jobs();
+    const auto& jobs = m_ledger.jobs();
     return std::ranges::all_of(jobs, [](const auto& entry) { return !entry.second.isOwed() || entry.second.isDone(); });
 }
 
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -16,7 +16,7 @@
         Soak soak({ .seed = seed });
         const bool kept = soak.run();
         size_t accepted = 0;
-        for (const auto& [id, job] : const_cast<RunLedger&>(soak.ledger()).jobs())
+        for (const auto& [id, job] : soak.ledger().jobs())
             accepted += job.accepted;
         std::cout << "soak seed=" << seed << " faults=" << soak.faults() << " accepted=" << accepted
                   << " starts=" << soak.ledger().starts() << " violations=" << soak.ledger().violations().size()
--- a/tests/soak/WorkerStandIn.cpp
+++ b/tests/soak/WorkerStandIn.cpp
@@ -133,7 +133,7 @@
         return conflict("room");
     const auto payload = body.value("spec", std::string());
     m_ledger.started(task, attempt, payload, m_name);
-    m_running[task] = { attempt, m_clock.now() + runTime(payload), taskCpuMilli };
+    m_running[task] = { attempt, m_clock.now() + runTime(payload) };
     return accepted;
 }
 
--- a/tests/soak/WorkerStandIn.h
+++ b/tests/soak/WorkerStandIn.h
@@ -36,7 +36,6 @@
     struct Run {
         uint32_t attempt;
         Instant endsAt;
-        int64_t cpuMilli;
     };
 
     struct End {
