Log and count how the tasks of long-running jobs are served

Change: ServiceLevelMonitor samples the states of the tasks every 0.5 s. A job that is not fully served gets one line service_level every 5 s; long_running_task_ms{state} counts all of them.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -24,6 +24,7 @@
     , m_counters(counters)
     , m_settings(settings)
     , m_ejector(ejectorSettings)
+    , m_serviceLevels(clock, counters, {})
 {
 }
 
@@ -83,6 +84,7 @@
     m_pendingStarts.clear();
     m_endedJobs.clear();
     m_ejector = StartEjector(ejectorSettings);
+    m_serviceLevels.reset();
 }
 
 void Dispatcher::registryReset() { deactivate(); }
@@ -156,6 +158,19 @@
     placeJobs();
     commit();
     sendOrders();
+    sampleServiceLevels();
+}
+
+void Dispatcher::sampleServiceLevels()
+{
+    if (!m_serviceLevels.isDue())
+        return;
+    std::vector<const Job*> open;
+    for (const std::string& id : m_openJobs) {
+        if (const Job* job = m_registry.find(id))
+            open.push_back(job);
+    }
+    m_serviceLevels.sample(open, m_hosts);
 }
 
 void Dispatcher::expireLeases()
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/JobPlan.h"
 #include "dispatch/JobRegistry.h"
 #include "dispatch/JournalWriter.h"
+#include "dispatch/ServiceLevelMonitor.h"
 
 #include <set>
 
@@ -142,6 +143,7 @@
     void queueStartOrder(const PendingStart& start);
     void removeExpiredJobs(std::vector<JournalRecord>& records);
     void sendOrders();
+    void sampleServiceLevels();
     static RunOrder makeRunOrder(const Job& job, const TaskId& id, const TaskState& task);
 
     JobRegistry& m_registry;
@@ -156,6 +158,7 @@
     DurationEstimator m_durations;
     std::map<std::string, JobPlan> m_plans; ///< Of open jobs, by job id; computed on first use.
     StartEjector m_ejector;
+    ServiceLevelMonitor m_serviceLevels;
     std::set<std::string> m_closedDataCentres;
     std::map<std::string, QueuePolicy> m_policies;
     bool m_active { false };
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -309,6 +309,7 @@
     if (!known.seen)
         known.seenAt = m_clock.now();
     known.seen = true;
+    known.tailPerMille = row.tailPerMille;
     host.setSpeed(known, row.pace);
     task->percent = row.percent;
     if (!row.checkpoint.empty())
--- /dev/null
+++ b/src/dispatch/ServiceLevelMonitor.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/Counters.h"
+#include "dispatch/HostRegistry.h"
+#include "dispatch/JobRegistry.h"
+
+#include <array>
+
+namespace hemlocklead::dispatch {
+
+/// Accounts for how the tasks of long-running jobs are served, and logs the jobs that are not fully served.
+///
+/// The times of a job are summed over its tasks. The counters `long_running_task_ms{state}` hold the totals of all
+/// jobs, and each log line `service_level` has the sums of one job since its previous line.
+class ServiceLevelMonitor {
+public:
+    /// What a task of a long-running job gives its users.
+    enum class State : uint8_t {
+        Waiting, ///< It has no run.
+        Starting, ///< A run has been placed, and the worker has not reported it yet.
+        OverTarget, ///< Its tail latency is over the target, and no best-effort task runs on its host.
+        Interfered, ///< Its tail latency is over the target while best-effort tasks run on its host.
+        Served,
+    };
+    static constexpr size_t stateCount = 5;
+
+    struct Settings {
+        Duration sampleInterval { 500 }; ///< About one report of a worker.
+        Duration logInterval { 5000 }; ///< Shortest interval between two lines of a job.
+    };
+
+    ServiceLevelMonitor(const Clock& clock, Counters& counters, Settings settings);
+
+    /// Whether `sampleInterval` has passed since the last sample.
+    bool isDue() const;
+
+    /// Attributes the time since the previous sample to the present states of the tasks. Ignores jobs without
+    /// long-running steps.
+    void sample(const std::vector<const Job*>& openJobs, const HostRegistry& hosts);
+
+    /// Discards all sums. The next sample only starts the measurement.
+    void reset();
+
+private:
+    using Times = std::array<Duration, stateCount>;
+
+    /// Sums of one job since its last log line.
+    struct JobTimes {
+        Times times {};
+        Instant since {};
+    };
+
+    void sampleJob(const Job& job, const HostRegistry& hosts, Duration elapsed);
+    void logIfDegraded(const Job& job, JobTimes& sums);
+
+    const Clock& m_clock;
+    Counters& m_counters;
+    Settings m_settings;
+    std::optional<Instant> m_sampledAt;
+    std::map<std::string, JobTimes> m_jobs;
+};
+
+} // namespace hemlocklead::dispatch
