Log why the tasks of a step find no host

Cause: a job that waits was visible only through the waiting time of its next placement, and not why no host qualified. Change: rejectionOf() names why a host does not qualify; chooseHost() uses it. WaitingStepLog writes a line tasks_waiting after 2 s and then every 5 s, with the hosts by reason and what is free. Result: HostChooserTest.rejection_hostLacksSomething_namesWhatIsMissing.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -25,6 +25,7 @@
     , m_settings(settings)
     , m_ejector(ejectorSettings)
     , m_serviceLevels(clock, counters, {})
+    , m_waitingSteps(WaitingStepLog::Settings {})
 {
 }
 
@@ -85,6 +86,7 @@
     m_endedJobs.clear();
     m_ejector = StartEjector(ejectorSettings);
     m_serviceLevels.reset();
+    m_waitingSteps.clear();
 }
 
 void Dispatcher::registryReset() { deactivate(); }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -8,6 +8,7 @@
 #include "dispatch/JobRegistry.h"
 #include "dispatch/JournalWriter.h"
 #include "dispatch/ServiceLevelMonitor.h"
+#include "dispatch/WaitingStepLog.h"
 
 #include <set>
 
@@ -159,6 +160,7 @@
     std::map<std::string, JobPlan> m_plans; ///< Of open jobs, by job id; computed on first use.
     StartEjector m_ejector;
     ServiceLevelMonitor m_serviceLevels;
+    WaitingStepLog m_waitingSteps;
     std::set<std::string> m_closedDataCentres;
     std::map<std::string, QueuePolicy> m_policies;
     bool m_active { false };
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -132,20 +132,28 @@
     const BestEffortLimits limits = bestEffortLimits(job, step, context.now);
     std::string placed;
     double newlyOver = 0;
+    bool foundNoHost = false;
     for (uint32_t index = 0; index < state.tasks.size(); ++index) {
         TaskState& task = state.tasks[index];
         if (!task.needsPlacement() || context.now < task.notBefore)
             continue;
         constraints.previousHost = task.host;
         const HostState* host = chooseHost(spec, constraints, context, limits);
-        if (!host)
+        if (!host) {
+            foundNoHost = true;
             break;
+        }
         ++constraints.tasksByHost[host->name];
         if (spec.bestEffort)
             newlyOver += newlyOverTarget(spec, *host, m_interference);
         startTask(job, { job.id(), occurrence, step, index }, task, *host);
         placed += (placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
     }
+    const TaskId firstTask { job.id(), occurrence, step, 0 };
+    if (foundNoHost)
+        m_waitingSteps.noteWaiting(firstTask, spec, state.waiting(), constraints, context, limits);
+    else
+        m_waitingSteps.noteSettled(firstTask);
     if (placed.empty())
         return;
     LogEvent(LogLevel::Info, "tasks_placed")
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -225,6 +225,7 @@
     stopRuns(job);
     m_openJobs.erase(job.id());
     m_plans.erase(job.id());
+    m_waitingSteps.removeJob(job.id());
     m_endedJobs.emplace(job.id(), m_clock.now());
     markDirty(job);
     LogEvent(LogLevel::Info, "job_ended")
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -99,18 +99,33 @@
         && !context.closedDataCentres.contains(host.last.dataCentre) && !context.isEjected(host.name);
 }
 
-const HostState* chooseHost(const StepSpec& step, const PlacementConstraints& constraints,
+HostRejection rejectionOf(const HostState& host, const StepSpec& step, const PlacementConstraints& constraints,
     const PlacementContext& context, const BestEffortLimits& limits)
 {
     const Resources needed = reservation(step);
+    const Resources free = host.free();
+    if (!matches(step, constraints.service, host))
+        return HostRejection::OtherKind;
+    if (!isUsable(host, context))
+        return HostRejection::Unusable;
+    if (!withinHostLimit(step, constraints, host))
+        return HostRejection::HostLimit;
+    if (needed.cpuMilli > free.cpuMilli)
+        return HostRejection::Processors;
+    if (!needed.fitsIn(free))
+        return HostRejection::Memory;
+    if (step.bestEffort && !isWithinLimits(limits, step, host, context))
+        return HostRejection::BestEffortLimits;
+    return HostRejection::None;
+}
+
+const HostState* chooseHost(const StepSpec& step, const PlacementConstraints& constraints,
+    const PlacementContext& context, const BestEffortLimits& limits)
+{
     const HostState* best = nullptr;
     int64_t bestCost = 0;
     for (const auto& [name, host] : context.hosts) {
-        if (!matches(step, constraints.service, host) || !needed.fitsIn(host.free()) || !isUsable(host, context))
-            continue;
-        if (!withinHostLimit(step, constraints, host))
-            continue;
-        if (step.bestEffort && !isWithinLimits(limits, step, host, context))
+        if (rejectionOf(host, step, constraints, context, limits) != HostRejection::None)
             continue;
         const int64_t hostCost = cost(step, constraints, host, context);
         if (!best || hostCost < bestCost) {
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -38,6 +38,21 @@
 /// Whether any new runs may be placed on the host.
 bool isUsable(const HostState& host, const PlacementContext& context);
 
+/// Why a host does not qualify for a task, in the order in which the reasons are checked.
+enum class HostRejection : uint8_t {
+    None, ///< The host qualifies.
+    OtherKind, ///< It belongs to another service or lacks the required label.
+    Unusable, ///< See isUsable().
+    HostLimit, ///< It has as many tasks of the step as the step allows.
+    Processors, ///< Too few processors are free.
+    Memory, ///< Enough processors are free, but too little memory or too few accelerators.
+    BestEffortLimits, ///< It is outside the limits of a best-effort task.
+};
+constexpr size_t hostRejectionCount = 7;
+
+HostRejection rejectionOf(const HostState& host, const StepSpec& step, const PlacementConstraints& constraints,
+    const PlacementContext& context, const BestEffortLimits& limits);
+
 /// Chooses the host for one task, or null if none qualifies.
 ///
 /// Tasks with reserved processors are placed best-fit, on the host with the fewest free processors, so that large gaps
--- /dev/null
+++ b/src/dispatch/WaitingStepLog.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "dispatch/HostChooser.h"
+
+#include <tuple>
+
+namespace hemlocklead::dispatch {
+
+/// Logs steps whose tasks find no host for some time, with the number of hosts that are rejected for each reason.
+class WaitingStepLog {
+public:
+    struct Settings {
+        Duration delay { 2000 }; ///< A shorter wait is not logged.
+        Duration repeatInterval { 5000 }; ///< Shortest interval between two lines of a step.
+    };
+
+    explicit WaitingStepLog(Settings settings);
+
+    /// Notes that a task of the step has found no host.
+    void noteWaiting(const TaskId& task, const StepSpec& step, uint32_t waiting,
+        const PlacementConstraints& constraints, const PlacementContext& context, const BestEffortLimits& limits);
+
+    /// Notes that no task of the step waits for a host any more.
+    void noteSettled(const TaskId& task);
+
+    void removeJob(const std::string& job);
+    void clear() { m_steps.clear(); }
+
+private:
+    /// Job, occurrence and step.
+    using Key = std::tuple<std::string, uint32_t, uint32_t>;
+
+    static Key keyOf(const TaskId& task) { return { task.job, task.occurrence, task.step }; }
+
+    struct WaitingStep {
+        Instant since;
+        Instant nextLogAt;
+    };
+
+    Settings m_settings;
+    std::map<Key, WaitingStep> m_steps;
+};
+
+} // namespace hemlocklead::dispatch
--- a/tests/unit/InterferenceTest.cpp
+++ b/tests/unit/InterferenceTest.cpp
@@ -291,6 +291,32 @@
         EXPECT_EQ(choose(step(1000)), nullptr);
     }
 
+    // Guards against a log that gives the wrong reason for a task that waits.
+    TEST_F(HostChooserTest, rejection_hostLacksSomething_namesWhatIsMissing)
+    {
+        HostState& host = addHost("a", 8000);
+        const auto rejection = [&](const StepSpec& spec, const PlacementConstraints& constraints) {
+            const PlacementContext context { m_registry.hosts(), m_closed, [](const std::string&) { return false; },
+                m_now, Duration { 1500 }, m_model };
+            return rejectionOf(host, spec, constraints, context, m_limits);
+        };
+        const PlacementConstraints any { "service", "", {}, "" };
+        EXPECT_EQ(rejection(step(8000), any), HostRejection::None);
+        EXPECT_EQ(rejection(step(8001), any), HostRejection::Processors);
+        EXPECT_EQ(rejection(step(1000), { "other", "", {}, "" }), HostRejection::OtherKind);
+        StepSpec spec = step(1000);
+        spec.resources.memoryMib = 100'001;
+        EXPECT_EQ(rejection(spec, any), HostRejection::Memory);
+        spec = step(1000);
+        spec.maxPerHost = 1;
+        EXPECT_EQ(rejection(spec, { "service", "", { { "a", 1 } }, "" }), HostRejection::HostLimit);
+        spec = step(11'000);
+        spec.bestEffort = true;
+        EXPECT_EQ(rejection(spec, any), HostRejection::BestEffortLimits);
+        host.last.draining = true;
+        EXPECT_EQ(rejection(step(1000), any), HostRejection::Unusable);
+    }
+
     // Guards against more tasks of a step on one host than the step allows.
     TEST_F(HostChooserTest, step_atItsHostLimit_isPlacedElsewhere)
     {
