Add a failing test for large long-running tasks that are bypassed

Any host with room for a younger job's smaller task gives it that room, so a host rarely has room for a large one. Change: DispatcherTest.largeLongRunningTask_roomComesFree_isNotBypassedByYoungerSmallerTasks, which fails, and largeLongRunningTask_fitsNowhere_doesNotBlockYoungerTasks, which passes and bounds the fix.

--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace hemlocklead::dispatch {
 namespace {
 
@@ -348,6 +350,62 @@
         EXPECT_EQ(entry.sender.starts[1].second.task, "c-in-time.0.0.0");
     }
 
+    // Load pattern: the reserved processors of a site are nearly used up, and watches with small tasks and short tasks
+    // keep arriving. Guards against a watch with large tasks that waits while younger jobs take all room that comes
+    // free (issue 19).
+    TEST_F(DispatcherTest, largeLongRunningTask_roomComesFree_isNotBypassedByYoungerSmallerTasks)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        const auto longRunning = [](int64_t cpu) {
+            StepSpec spec = step(1, cpu);
+            spec.longRunning = true;
+            return spec;
+        };
+        submit("a-short", { step(2, 2000) });
+        submit("b-watch", { longRunning(2000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 3u);
+        submit("c-large", { longRunning(6000) });
+        run(entry, Duration { 100 });
+        submit("d-small", { longRunning(2000) });
+        submit("e-short", { step(1, 2000) });
+        run(entry, Duration { 100 });
+        EXPECT_EQ(entry.sender.starts.size(), 3u);
+
+        HostReport report = reportOf("host-1");
+        report.running = { { "b-watch.0.0.0", 1, "", 100 } };
+        report.settledOrders = entry.sender.starts.size();
+        report.ends
+            = { endOf(1, entry.sender.starts[0].second, "done"), endOf(2, entry.sender.starts[1].second, "done") };
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 100 });
+        const bool isStarted = std::ranges::any_of(
+            entry.sender.starts, [](const auto& start) { return start.second.task == "c-large.0.0.0"; });
+        EXPECT_TRUE(isStarted);
+    }
+
+    // Guards against room that stays empty: a task that cannot fit on a host even after the short tasks have ended must
+    // not keep younger tasks from it (issue 19).
+    TEST_F(DispatcherTest, largeLongRunningTask_fitsNowhere_doesNotBlockYoungerTasks)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        StepSpec watch = step(1, 3000);
+        watch.longRunning = true;
+        submit("a-watch", { watch });
+        run(entry, Duration { 150 });
+        StepSpec large = step(1, 6000);
+        large.longRunning = true;
+        submit("b-large", { large });
+        submit("c-small", { watch });
+        submit("d-short", { step(1, 1000) });
+        run(entry, Duration { 150 });
+        EXPECT_EQ(entry.sender.starts.size(), 3u);
+    }
+
     // Guards against counting a failure twice: the previous owner recorded the end but did not acknowledge it in time,
     // so the worker reports it to the next owner again.
     TEST_F(DispatcherTest, end_recordedByPreviousOwner_isNotCountedAgain)
