Hold room for long-running tasks that do not fit yet

Cause: starvation by backfilling. Tasks were placed in order of age, but a task that fit on no host kept nothing free, so younger jobs with smaller tasks took all room that came free. Change: a long-running step that finds no host holds the room on hosts where its tasks fit once the short runs have ended; younger long-running tasks get none of it. One host a step takes no short tasks either. The holds are computed anew in each cycle, so nothing has to be released.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -138,6 +138,8 @@
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
     void openDueOccurrences(Job& job);
     PlacementConstraints constraintsOf(const Job& job, const StepState& state, const StepSpec& spec);
+    void holdHosts(const StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
+        const PlacementContext& context);
     void startTask(Job& job, const TaskId& id, TaskState& task, const HostState& host);
     void commit();
     void onCommitDurable(const Commit& commit);
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -24,8 +24,11 @@
             jobs.emplace_back(Key { job->policy().priority, latenessClass(*job, now), job->offset() }, job);
     }
     std::ranges::sort(jobs, {}, [](const auto& entry) { return entry.first; });
-    for (auto& [name, host] : m_hosts.hosts())
+    for (auto& [name, host] : m_hosts.hosts()) {
+        host.held = {};
+        host.isClearedForHeld = false;
         host.refreshForecasts(m_interference);
+    }
     const PlacementContext context = placementContext();
     for (const auto& [key, job] : jobs)
         placeJob(*job, context);
@@ -150,10 +153,12 @@
         placed += (placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
     }
     const TaskId firstTask { job.id(), occurrence, step, 0 };
-    if (foundNoHost)
+    if (foundNoHost) {
         m_waitingSteps.noteWaiting(firstTask, spec, state.waiting(), constraints, context, limits);
-    else
+        holdHosts(state, spec, constraints, context);
+    } else {
         m_waitingSteps.noteSettled(firstTask);
+    }
     if (placed.empty())
         return;
     LogEvent(LogLevel::Info, "tasks_placed")
@@ -168,6 +173,23 @@
         .field("hosts", placed);
 }
 
+void Dispatcher::holdHosts(const StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
+    const PlacementContext& context)
+{
+    // Short tasks and best-effort tasks soon find room again.
+    if (!spec.longRunning || spec.bestEffort)
+        return;
+    const auto waiting = static_cast<uint32_t>(std::ranges::count_if(state.tasks, &TaskState::needsPlacement));
+    const std::vector<std::string> held = chooseHostsToHold(spec, constraints, context, waiting);
+    for (const std::string& name : held) {
+        HostState& host = m_hosts.host(name);
+        host.held = host.held + spec.resources;
+    }
+    // One host of a step is enough to make progress. Short tasks avoid the others but may use them.
+    if (!held.empty())
+        m_hosts.host(held.front()).isClearedForHeld = true;
+}
+
 void Dispatcher::startTask(Job& job, const TaskId& id, TaskState& task, const HostState& chosen)
 {
     HostState& host = m_hosts.host(chosen.name);
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/HostChooser.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace hemlocklead::dispatch {
 
@@ -14,6 +15,7 @@
     /// cost of a wrong choice: another failed run on the previous host, or a run slowed down by remote data.
     constexpr int64_t previousHostPenalty = 4'000'000;
     constexpr int64_t remotePenalty = 2'000'000;
+    constexpr int64_t heldPenalty = 1'000'000;
 
     /// Idle thousandths of a core that offset one latency-critical task newly over its target: about half a host. Such
     /// a task costs its users four times its value, a best-effort task at half speed loses half of its own.
@@ -66,6 +68,7 @@
     int64_t cost(const StepSpec& step, const PlacementConstraints& constraints, const HostState& host,
         const PlacementContext& context)
     {
+        const Resources needed = reservation(step);
         int64_t cost = host.free().cpuMilli;
         if (step.bestEffort) {
             cost = step.resources.cpuMilli - host.idleMilli();
@@ -73,6 +76,8 @@
         }
         if (host.name == constraints.previousHost)
             cost += previousHostPenalty;
+        if (!needed.fitsIn(host.available()))
+            cost += heldPenalty;
         const std::string& rack = step.dataRack.empty() ? constraints.rack : step.dataRack;
         if (!rack.empty() && host.last.rack != rack)
             cost += remotePenalty;
@@ -114,11 +119,37 @@
         return HostRejection::Processors;
     if (!needed.fitsIn(free))
         return HostRejection::Memory;
+    if ((step.longRunning || host.isClearedForHeld) && !needed.fitsIn(host.available()))
+        return HostRejection::Held;
     if (step.bestEffort && !isWithinLimits(limits, step, host, context))
         return HostRejection::BestEffortLimits;
     return HostRejection::None;
 }
 
+std::vector<std::string> chooseHostsToHold(
+    const StepSpec& step, PlacementConstraints constraints, const PlacementContext& context, uint32_t tasks)
+{
+    const Resources needed = reservation(step);
+    std::vector<const HostState*> candidates;
+    for (const auto& [name, host] : context.hosts) {
+        if (needed.fitsIn(host.availableAfterShortRuns()) && matches(step, constraints.service, host)
+            && isUsable(host, context))
+            candidates.push_back(&host);
+    }
+    std::ranges::stable_sort(
+        candidates, std::greater {}, [](const HostState* host) { return host->available().cpuMilli; });
+    std::vector<std::string> chosen;
+    for (const HostState* host : candidates) {
+        Resources room = host->availableAfterShortRuns();
+        while (chosen.size() < tasks && needed.fitsIn(room) && withinHostLimit(step, constraints, *host)) {
+            chosen.push_back(host->name);
+            ++constraints.tasksByHost[host->name];
+            room = room - needed;
+        }
+    }
+    return chosen;
+}
+
 const HostState* chooseHost(const StepSpec& step, const PlacementConstraints& constraints,
     const PlacementContext& context, const BestEffortLimits& limits)
 {
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -46,13 +46,24 @@
     HostLimit, ///< It has as many tasks of the step as the step allows.
     Processors, ///< Too few processors are free.
     Memory, ///< Enough processors are free, but too little memory or too few accelerators.
+    Held, ///< Enough is free, but it is held for older tasks.
     BestEffortLimits, ///< It is outside the limits of a best-effort task.
 };
-constexpr size_t hostRejectionCount = 7;
+constexpr size_t hostRejectionCount = 8;
 
 HostRejection rejectionOf(const HostState& host, const StepSpec& step, const PlacementConstraints& constraints,
     const PlacementContext& context, const BestEffortLimits& limits);
 
+/// Chooses hosts on which tasks of a long-running step that fit nowhere now will fit once the short runs there have
+/// ended; one element a task, at most `tasks`, a host as often as tasks fit on it. The hosts that lack least come
+/// first.
+///
+/// Without holding this room, a stream of younger jobs with smaller tasks takes all that comes free, and large tasks
+/// starve. A host that would not have the room even then is not chosen, since no end of its long-running tasks is
+/// known.
+std::vector<std::string> chooseHostsToHold(
+    const StepSpec& step, PlacementConstraints constraints, const PlacementContext& context, uint32_t tasks);
+
 /// Chooses the host for one task, or null if none qualifies.
 ///
 /// Tasks with reserved processors are placed best-fit, on the host with the fewest free processors, so that large gaps
--- a/src/dispatch/HostRegistry.cpp
+++ b/src/dispatch/HostRegistry.cpp
@@ -77,6 +77,8 @@
     run.longRunning = step.longRunning;
     run.image = step.image;
     host.reserved = host.reserved + run.reserved;
+    if (run.longRunning)
+        host.longRunningReserved = host.longRunningReserved + run.reserved;
     host.forecastsAreStale = true;
     (step.longRunning ? host.longRunningMilli : host.usageMilli) += run.usageMilli;
     return host.runs.emplace(name, std::move(run)).first->second;
@@ -88,6 +90,8 @@
     if (found == host.runs.end())
         return;
     host.reserved = host.reserved - found->second.reserved;
+    if (found->second.longRunning)
+        host.longRunningReserved = host.longRunningReserved - found->second.reserved;
     host.setSpeed(found->second, 100);
     (found->second.longRunning ? host.longRunningMilli : host.usageMilli) -= found->second.usageMilli;
     host.forecastsAreStale = true;
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -59,6 +59,10 @@
     Instant leaseEnd {}; ///< All leases on the host's worker have expired after this.
     HostReport last; ///< The last report, without its lists.
     Resources reserved;
+    Resources longRunningReserved; ///< The part of `reserved` that long-running tasks hold.
+    /// Kept from younger long-running tasks, for older ones that do not fit yet. Set anew in each scheduling cycle.
+    Resources held;
+    bool isClearedForHeld { false }; ///< No short task may use what is held either, so that the older task fits soon.
     int64_t usageMilli { 0 }; ///< Expected use of all runs but the long-running ones, thousandths of a core.
     int64_t longRunningMilli { 0 }; ///< Declared processors of the long-running ones, thousandths of a core.
     std::map<std::string, LatencyCriticalGroup> latencyCriticalGroups; ///< By image.
@@ -76,6 +80,12 @@
 
     Resources free() const { return last.capacity - reserved; }
 
+    /// Resources that a new task may reserve. Negative while runs use what is held for other tasks.
+    Resources available() const { return free() - held; }
+
+    /// Resources that a new task could reserve once all runs but the long-running ones have ended.
+    Resources availableAfterShortRuns() const { return last.capacity - longRunningReserved - held; }
+
     /// Processor time that the current runs are expected to leave unused, thousandths of a core.
     int64_t idleMilli() const
     {
--- a/src/dispatch/WaitingStepLog.cpp
+++ b/src/dispatch/WaitingStepLog.cpp
@@ -11,7 +11,7 @@
 
     /// Names of the log fields, in the order of HostRejection.
     constexpr std::array<std::string_view, hostRejectionCount> rejectionNames { "hosts_fit", "other_kind", "unusable",
-        "at_host_limit", "no_processors", "no_memory", "over_limits" };
+        "at_host_limit", "no_processors", "no_memory", "held", "over_limits" };
 
 } // namespace
 
