Let short tasks use held room for a bounded time

Cause: one host for each waiting step took no short tasks at once. Change: held room is kept from younger long-running tasks only. If it has been held for 3 s, the first host takes no short tasks until a task of the step has started. Short tasks no longer avoid held hosts otherwise.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -48,6 +48,8 @@
                                       ///< is used up: a start takes about 100 ms, a poll of the worker 450 ms.
         double maxNewlyOverTarget { 0.7 }; ///< Expected number of latency-critical tasks that a best-effort task may
                                            ///< push over their target while its job has slack.
+        Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
+                                       ///< long-running task. Most short tasks end within it.
         Duration retention { 180'000 }; ///< How long ended jobs are kept.
         size_t maxCommitBytes { 1'000'000 }; ///< Soft limit; the store accepts 2 MiB in one append.
     };
@@ -138,7 +140,7 @@
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
     void openDueOccurrences(Job& job);
     PlacementConstraints constraintsOf(const Job& job, const StepState& state, const StepSpec& spec);
-    void holdHosts(const StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
+    void holdHosts(StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
         const PlacementContext& context);
     void startTask(Job& job, const TaskId& id, TaskState& task, const HostState& host);
     void commit();
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -152,6 +152,8 @@
         startTask(job, { job.id(), occurrence, step, index }, task, *host);
         placed += (placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
     }
+    if (!placed.empty())
+        state.heldSince.reset();
     const TaskId firstTask { job.id(), occurrence, step, 0 };
     if (foundNoHost) {
         m_waitingSteps.noteWaiting(firstTask, spec, state.waiting(), constraints, context, limits);
@@ -173,8 +175,8 @@
         .field("hosts", placed);
 }
 
-void Dispatcher::holdHosts(const StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
-    const PlacementContext& context)
+void Dispatcher::holdHosts(
+    StepState& state, const StepSpec& spec, const PlacementConstraints& constraints, const PlacementContext& context)
 {
     // Short tasks and best-effort tasks soon find room again.
     if (!spec.longRunning || spec.bestEffort)
@@ -185,8 +187,13 @@
         HostState& host = m_hosts.host(name);
         host.held = host.held + spec.resources;
     }
-    // One host of a step is enough to make progress. Short tasks avoid the others but may use them.
-    if (!held.empty())
+    if (held.empty())
+        return state.heldSince.reset();
+    if (!state.heldSince)
+        state.heldSince = context.now;
+    // Short tasks rarely keep a large gap occupied, since they take the tightest fit. One host is enough to make
+    // progress when they do.
+    if (context.now - *state.heldSince >= m_settings.maxHoldTime)
         m_hosts.host(held.front()).isClearedForHeld = true;
 }
 
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -15,7 +15,6 @@
     /// cost of a wrong choice: another failed run on the previous host, or a run slowed down by remote data.
     constexpr int64_t previousHostPenalty = 4'000'000;
     constexpr int64_t remotePenalty = 2'000'000;
-    constexpr int64_t heldPenalty = 1'000'000;
 
     /// Idle thousandths of a core that offset one latency-critical task newly over its target: about half a host. Such
     /// a task costs its users four times its value, a best-effort task at half speed loses half of its own.
@@ -68,7 +67,6 @@
     int64_t cost(const StepSpec& step, const PlacementConstraints& constraints, const HostState& host,
         const PlacementContext& context)
     {
-        const Resources needed = reservation(step);
         int64_t cost = host.free().cpuMilli;
         if (step.bestEffort) {
             cost = step.resources.cpuMilli - host.idleMilli();
@@ -76,8 +74,6 @@
         }
         if (host.name == constraints.previousHost)
             cost += previousHostPenalty;
-        if (!needed.fitsIn(host.available()))
-            cost += heldPenalty;
         const std::string& rack = step.dataRack.empty() ? constraints.rack : step.dataRack;
         if (!rack.empty() && host.last.rack != rack)
             cost += remotePenalty;
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,9 @@
     uint32_t done { 0 };
     uint32_t placed { 0 };
 
+    /// Since when hosts are held for the waiting tasks. Not recorded; only the owner maintains it.
+    std::optional<Instant> heldSince {};
+
     bool isDone() const { return done == tasks.size(); }
     uint32_t waiting() const { return static_cast<uint32_t>(tasks.size()) - done - placed; }
 };
