Move best-effort runs that stay paused

Cause: the agent pauses a best-effort task beside a watch that is over its target and resumes it on the same host as soon as the watch recovers, and it pushes the watch over its target again; the owner left it there although other hosts had room for it. Change: a paused run with checkpoints that has been paused for as long as a move takes is stopped, and so placed elsewhere, if another host accepts it at that time. Result: DispatcherTest.bestEffortRun_staysPaused_isMovedWithItsCheckpoint (nothing stops without the change).

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -50,6 +50,8 @@
                                            ///< push over their target while its job has slack.
         Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
                                        ///< long-running task. Most short tasks end within it.
+        Duration moveTime { 1500 }; ///< Time that stopping a run and resuming it elsewhere takes. A best-effort run
+                                    ///< with checkpoints that has been paused for as long is moved.
         Duration retention { 180'000 }; ///< How long ended jobs are kept.
         size_t maxCommitBytes { 1'000'000 }; ///< Soft limit; the store accepts 2 MiB in one append.
     };
@@ -119,6 +121,7 @@
     void reconcile(HostState& host, const HostReport& report);
     void reconcileRun(HostState& host, const RunReport& row);
     PlacementContext placementContext() const;
+    void moveIfPaused(HostState& host, HostRun& run, Job& job, const RunReport& row);
     void markRunLost(HostState& host, const std::string& task, std::string_view reason);
     void markRunsLost(HostState& host, std::string_view reason);
     void evacuateDrainingHost(HostState& host);
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -312,6 +312,7 @@
     known.seen = true;
     known.tailPerMille = row.tailPerMille;
     host.setSpeed(known, row.pace);
+    moveIfPaused(host, known, *job, row);
     task->percent = row.percent;
     if (!row.checkpoint.empty())
         task->checkpoint = row.checkpoint;
@@ -320,6 +321,33 @@
         stopRun(host, known);
 }
 
+void Dispatcher::moveIfPaused(HostState& host, HostRun& run, Job& job, const RunReport& row)
+{
+    const Instant now = m_clock.now();
+    if (row.pace > 0) {
+        run.pausedSince.reset();
+        return;
+    }
+    if (!run.pausedSince)
+        run.pausedSince = now;
+    // Without checkpoints a move would discard the progress.
+    const bool canMove = job.spec().steps[run.task.step].checkpoints && !run.stopping;
+    if (!canMove || now - *run.pausedSince < m_settings.moveTime)
+        return;
+    const StepSpec& step = job.spec().steps[run.task.step];
+    const StepState& state = job.occurrence(run.task.occurrence).steps[run.task.step];
+    const PlacementContext context = placementContext();
+    if (!chooseHost(step, constraintsOf(job, state, step), context, bestEffortLimits(job, run.task.step, now)))
+        return;
+    m_counters.add("runs_moved");
+    LogEvent(LogLevel::Info, "run_moved")
+        .field("host", host.name)
+        .field("task", row.task)
+        .field("attempt", row.attempt)
+        .field("paused_ms", static_cast<int64_t>((now - *run.pausedSince).count()));
+    stopRun(host, run);
+}
+
 void Dispatcher::markRunLost(HostState& host, const std::string& name, std::string_view reason)
 {
     const auto found = host.runs.find(name);
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -419,6 +419,64 @@
         EXPECT_GT(entry.sender.starts.size(), 8u);
     }
 
+    // Load pattern: best-effort tasks interfere with latency-critical ones on some hosts and not on others. Guards
+    // against a paused best-effort task that stays where it interferes, and interferes again each time it resumes
+    // (issue 19).
+    TEST_F(DispatcherTest, bestEffortRun_staysPaused_isMovedWithItsCheckpoint)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        StepSpec bestEffort = step(1, 1000);
+        bestEffort.bestEffort = true;
+        bestEffort.checkpoints = true;
+        submit("job", { bestEffort });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        HostReport report = reportOf("host-1");
+        report.settledOrders = 1;
+        report.running = { { "job.0.0.0", 1, "saved", 50, 0 } };
+        for (int i = 0; i < 9; ++i) {
+            entry.dispatcher.hostReported("host-1", report);
+            run(entry, Duration { 150 });
+        }
+        EXPECT_TRUE(entry.sender.stops.empty());
+        connect(entry, "host-2");
+        for (int i = 0; i < 3; ++i) {
+            entry.dispatcher.hostReported("host-1", report);
+            run(entry, Duration { 150 });
+        }
+        ASSERT_EQ(entry.sender.stops.size(), 1u);
+        report.running.clear();
+        report.ends = { { 1, "job.0.0.0", 1, "stopped", "saved" } };
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 2u);
+        EXPECT_EQ(entry.sender.starts[1].first, "host-2");
+        EXPECT_EQ(entry.sender.starts[1].second.checkpoint, "saved");
+    }
+
+    // Guards against lost progress: a best-effort run without checkpoints would begin anew elsewhere.
+    TEST_F(DispatcherTest, bestEffortRunWithoutCheckpoints_staysPaused_isNotStopped)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        StepSpec bestEffort = step(1, 1000);
+        bestEffort.bestEffort = true;
+        submit("job", { bestEffort });
+        run(entry, Duration { 150 });
+        HostReport report = reportOf("host-1");
+        report.settledOrders = 1;
+        report.running = { { "job.0.0.0", 1, "", 50, 0 } };
+        for (int i = 0; i < 20; ++i) {
+            connect(entry, "host-2");
+            entry.dispatcher.hostReported("host-1", report);
+            run(entry, Duration { 150 });
+        }
+        EXPECT_TRUE(entry.sender.stops.empty());
+    }
+
     // Guards against room that stays empty: a task that cannot fit on a host even after the short tasks have ended must
     // not keep younger tasks from it (issue 19).
     TEST_F(DispatcherTest, largeLongRunningTask_fitsNowhere_doesNotBlockYoungerTasks)
