--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -26,7 +26,7 @@
     std::ranges::sort(jobs, {}, [](const auto& entry) { return entry.first; });
     for (auto& [name, host] : m_hosts.hosts()) {
         host.held = {};
-        host.isClearedForHeld = false;
+        host.isHeldFromShortTasks = false;
         host.refreshForecasts(m_interference);
     }
     const PlacementContext context = placementContext();
@@ -194,7 +194,7 @@
     // Short tasks rarely keep a large gap occupied, since they take the tightest fit. One host is enough to make
     // progress when they do.
     if (context.now - *state.heldSince >= m_settings.maxHoldTime)
-        m_hosts.host(held.front()).isClearedForHeld = true;
+        m_hosts.host(held.front()).isHeldFromShortTasks = true;
 }
 
 void Dispatcher::startTask(Job& job, const TaskId& id, TaskState& task, const HostState& chosen)
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -115,7 +115,7 @@
         return HostRejection::Processors;
     if (!needed.fitsIn(free))
         return HostRejection::Memory;
-    if ((step.longRunning || host.isClearedForHeld) && !needed.fitsIn(host.available()))
+    if ((step.longRunning || host.isHeldFromShortTasks) && !needed.fitsIn(host.available()))
         return HostRejection::Held;
     if (step.bestEffort && !isWithinLimits(limits, step, host, context))
         return HostRejection::BestEffortLimits;
--- a/src/dispatch/WaitingStepLog.cpp
+++ b/src/dispatch/WaitingStepLog.cpp
@@ -23,8 +23,11 @@
 void WaitingStepLog::noteWaiting(const TaskId& task, const StepSpec& step, uint32_t waiting,
     const PlacementConstraints& constraints, const PlacementContext& context, const BestEffortLimits& limits)
 {
-    const WaitingStep begun { context.now, context.now + m_settings.delay };
+    const WaitingStep begun { context.now, context.now + m_settings.delay, context.now };
     WaitingStep& state = m_steps.try_emplace(keyOf(task), begun).first->second;
+    if (context.now - state.notedAt > m_settings.maxGap)
+        state = begun;
+    state.notedAt = context.now;
     if (context.now < state.nextLogAt)
         return;
     state.nextLogAt = context.now + m_settings.repeatInterval;
--- a/src/dispatch/WaitingStepLog.h
+++ b/src/dispatch/WaitingStepLog.h
@@ -11,6 +11,7 @@
 public:
     struct Settings {
         Duration delay { 2000 }; ///< A shorter wait is not logged.
+        Duration maxGap { 1000 }; ///< A step that is not noted for longer has not waited in between.
         Duration repeatInterval { 5000 }; ///< Shortest interval between two lines of a step.
     };
 
@@ -35,6 +36,7 @@
     struct WaitingStep {
         Instant since;
         Instant nextLogAt;
+        Instant notedAt; ///< Last time at which a task of the step found no host.
     };
 
     Settings m_settings;
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -350,9 +350,9 @@
         EXPECT_EQ(entry.sender.starts[1].second.task, "c-in-time.0.0.0");
     }
 
-    // Load pattern: the reserved processors of a site are nearly used up, and watches with small tasks and short tasks
-    // keep arriving. Guards against a watch with large tasks that waits while younger jobs take all room that comes
-    // free (issue 19).
+    // Load pattern: the reserved processors of a site are nearly used up, and watches with small tasks keep arriving.
+    // Guards against a watch with large tasks that waits while younger watches take all room that comes free (issue
+    // 19).
     TEST_F(DispatcherTest, largeLongRunningTask_roomComesFree_isNotBypassedByYoungerSmallerTasks)
     {
         Entry entry("entry-1", m_journal, m_timers, m_clock);
