Refuse start orders that arrive late

Callers saw: a task started 3.03 s after its job was cancelled; the users' bound is 3 s. Cause: a link held the bytes to one agent back for 3.1 s (fault owners_cut_out). The start order and the stop after it arrived together; the agent checked only what was left of its lease, 1.5 to 1.9 s, and nothing checked how old the order was. Change: the agent judges a start by the clock reading in its own message, not by the lease, and refuses one older than 2.5 s (order_late). Result: HostAgentTest.start_orderArrivesLate_isRefusedDespiteValidLease failed before (the start was carried out) and passes.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -88,7 +88,7 @@
     for (const RunOrder& order : orders.starts) {
         m_highestOrder = std::max(m_highestOrder, order.sequence);
         if (sameLife)
-            startRun(order);
+            startRun(order, Duration { workerClockMs() - orders.echoMs });
         else
             refuseStart(order, "worker_restarted");
     }
@@ -102,7 +102,7 @@
     return true;
 }
 
-void HostAgent::startRun(const RunOrder& order)
+void HostAgent::startRun(const RunOrder& order, Duration orderAge)
 {
     const int64_t leaseLeft = m_leaseUntilMs - workerClockMs();
     // The order is meant for the incarnation that answered the last poll, but calls reach the incarnation that was
@@ -111,6 +111,8 @@
         return refuseStart(order, "worker_restarted");
     if (m_announcement.draining)
         return refuseStart(order, "draining");
+    if (orderAge > m_settings.maxOrderAge)
+        return refuseStart(order, "order_late");
     if (leaseLeft < m_settings.minStartLease.count())
         return refuseStart(order, "lease_short");
     // A run starts at full speed and would interfere until the next poll.
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -51,6 +51,11 @@
         /// A start is refused when less than this is left of the lease.
         Duration minStartLease { 1500 };
 
+        /// A start is refused when the clock reading in its message is older than this: the owner may have cancelled
+        /// the job or given up the run meanwhile. Less than the users' bound from a cancellation to the last start, 3
+        /// s.
+        Duration maxOrderAge { 2500 };
+
         /// Delay before an unanswered stop is repeated.
         Duration stopRetry { 400 };
 
@@ -113,7 +118,7 @@
     bool haveLeasesExpired() const;
     int64_t workerClockMs() const;
 
-    void startRun(const RunOrder& order);
+    void startRun(const RunOrder& order, Duration orderAge);
     void handleStartAnswer(const std::string& key, const WorkerAnswer& answer);
     void revokeStart(const std::string& key);
     void refuseStart(const RunOrder& order, const std::string& reason);
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -129,6 +129,29 @@
         HostAgent m_agent { m_worker, m_sender, m_timers, m_clock, m_counters, { .host = "host-1" } };
     };
 
+    // Guards against a start after the bound on cancellations, and against a second run of a task that the owner has
+    // given up: a link held the order back for 3.1 s while the lease stayed valid (soak seed 29).
+    TEST_F(HostAgentTest, start_orderArrivesLate_isRefusedDespiteValidLease)
+    {
+        HostOrders late;
+        late.epoch = 7;
+        late.life = life;
+        late.echoMs = workerClock();
+        RunOrder start;
+        start.sequence = 1;
+        start.task = "job.0.0.0";
+        start.attempt = 1;
+        late.starts.push_back(start);
+        m_timers.run(Duration { 2600 });
+        connect(7);
+        m_agent.handleOrders(late);
+        EXPECT_TRUE(m_worker.starts.empty());
+        ASSERT_EQ(lastReport().refusals.size(), 1u);
+        EXPECT_EQ(lastReport().refusals[0].reason, "order_late");
+        order(7, 2, "job.0.0.0", 2);
+        EXPECT_EQ(m_worker.starts.size(), 1u);
+    }
+
     // Guards against a restarted agent that reports an empty host: its first poll returns the worker's incarnation,
     // but it has not read the runs under its own fence yet. The owner then started three tasks a second time (soak seed
     // 103).
