Visit the tasks of a job in one place

Cause: the service levels added two loops over occurrences, steps and tasks beside those of adoptRuns and stopRuns; holdHosts counted the waiting tasks that StepState::waiting() already knows; new tests built steps and orders by hand. Change: Job::forEachTask serves all four loops; holdHosts uses waiting(); moveIfPaused looks its step up once; the fixtures have longRunningStep, bestEffortStep and orderSentAt. No assertion changes. Conclusion: no change of behaviour.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -59,19 +59,10 @@
 void Dispatcher::adoptRuns(Job& job)
 {
     job.noteEvent(m_clock.now());
-    for (auto& [number, occurrence] : job.occurrences()) {
-        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const std::vector<TaskState>& tasks = occurrence.steps[step].tasks;
-            for (uint32_t index = 0; index < tasks.size(); ++index) {
-                const TaskState& task = tasks[index];
-                if (task.phase != TaskPhase::Placed)
-                    continue;
-                HostState& host = m_hosts.host(task.host);
-                m_hosts.add(host, { job.id(), number, step, index }, task.attempt, job.spec().steps[step],
-                    HostRun::Stage::Adopted);
-            }
-        }
-    }
+    job.forEachTask([&](const TaskId& id, const TaskState& task) {
+        if (task.phase == TaskPhase::Placed)
+            m_hosts.add(m_hosts.host(task.host), id, task.attempt, job.spec().steps[id.step], HostRun::Stage::Adopted);
+    });
 }
 
 void Dispatcher::deactivate()
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -181,8 +181,8 @@
     // Short tasks and best-effort tasks soon find room again.
     if (!spec.longRunning || spec.bestEffort)
         return;
-    const auto waiting = static_cast<uint32_t>(std::ranges::count_if(state.tasks, &TaskState::needsPlacement));
-    const std::vector<std::string> held = chooseHostsToHold(spec, constraints, context, waiting);
+    // Long-running tasks never fail for good, so each of the step's tasks without a run needs a host.
+    const std::vector<std::string> held = chooseHostsToHold(spec, constraints, context, state.waiting());
     for (const std::string& name : held) {
         HostState& host = m_hosts.host(name);
         host.held = host.held + spec.resources;
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -237,19 +237,13 @@
 
 void Dispatcher::stopRuns(Job& job)
 {
-    for (const auto& [number, occurrence] : job.occurrences()) {
-        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const std::vector<TaskState>& tasks = occurrence.steps[step].tasks;
-            for (uint32_t index = 0; index < tasks.size(); ++index) {
-                if (tasks[index].phase != TaskPhase::Placed)
-                    continue;
-                HostState& host = m_hosts.host(tasks[index].host);
-                const auto run = host.runs.find(TaskId { job.id(), number, step, index }.text());
-                if (run != host.runs.end())
-                    stopRun(host, run->second);
-            }
-        }
-    }
+    job.forEachTask([&](const TaskId& id, const TaskState& task) {
+        if (task.phase != TaskPhase::Placed)
+            return;
+        HostState& host = m_hosts.host(task.host);
+        if (const auto run = host.runs.find(id.text()); run != host.runs.end())
+            stopRun(host, run->second);
+    });
 }
 
 void Dispatcher::stopRun(HostState& host, HostRun& run)
@@ -330,11 +324,10 @@
     }
     if (!run.pausedSince)
         run.pausedSince = now;
+    const StepSpec& step = job.spec().steps[run.task.step];
     // Without checkpoints a move would discard the progress.
-    const bool canMove = job.spec().steps[run.task.step].checkpoints && !run.stopping;
-    if (!canMove || now - *run.pausedSince < m_settings.moveTime)
+    if (!step.checkpoints || run.stopping || now - *run.pausedSince < m_settings.moveTime)
         return;
-    const StepSpec& step = job.spec().steps[run.task.step];
     const StepState& state = job.occurrence(run.task.occurrence).steps[run.task.step];
     const PlacementContext context = placementContext();
     if (!chooseHost(step, constraintsOf(job, state, step), context, bestEffortLimits(job, run.task.step, now)))
--- a/src/dispatch/JobState.cpp
+++ b/src/dispatch/JobState.cpp
@@ -77,6 +77,19 @@
     return task.index < tasks.size() ? &tasks[task.index] : nullptr;
 }
 
+void Job::forEachTask(const std::function<void(const TaskId&, const TaskState&)>& visit) const
+{
+    TaskId id { m_id };
+    for (const auto& [number, occurrence] : m_occurrences) {
+        id.occurrence = number;
+        for (id.step = 0; id.step < occurrence.steps.size(); ++id.step) {
+            const std::vector<TaskState>& tasks = occurrence.steps[id.step].tasks;
+            for (id.index = 0; id.index < tasks.size(); ++id.index)
+                visit(id, tasks[id.index]);
+        }
+    }
+}
+
 void Job::setTaskPhase(const TaskId& id, TaskPhase phase)
 {
     TaskState* task = find(id);
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -3,6 +3,7 @@
 #include "dispatch/JobSpec.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -110,6 +111,9 @@
     /// The task, or null if its occurrence has not been created or the spec has no such task.
     TaskState* find(const TaskId& task);
 
+    /// Calls `visit` for each task of the occurrences that have been created. `visit` must not create occurrences.
+    void forEachTask(const std::function<void(const TaskId&, const TaskState&)>& visit) const;
+
     /// Changes the phase of a task and updates the counts of its step.
     void setTaskPhase(const TaskId& task, TaskPhase phase);
 
--- a/src/dispatch/ServiceLevelMonitor.cpp
+++ b/src/dispatch/ServiceLevelMonitor.cpp
@@ -49,19 +49,15 @@
     LongRunningTotals totalsOf(const Job& job)
     {
         LongRunningTotals totals;
-        for (const auto& [number, occurrence] : job.occurrences()) {
-            for (size_t step = 0; step < occurrence.steps.size(); ++step) {
-                const StepSpec& spec = job.spec().steps[step];
-                if (!spec.longRunning)
-                    continue;
-                totals.tasks += spec.tasks;
-                totals.cpuMilli += spec.resources.cpuMilli * spec.tasks;
-                for (const TaskState& task : occurrence.steps[step].tasks) {
-                    if (task.phase == TaskPhase::Placed)
-                        totals.hosts.insert(task.host);
-                }
-            }
-        }
+        job.forEachTask([&](const TaskId& id, const TaskState& task) {
+            const StepSpec& step = job.spec().steps[id.step];
+            if (!step.longRunning)
+                return;
+            ++totals.tasks;
+            totals.cpuMilli += step.resources.cpuMilli;
+            if (task.phase == TaskPhase::Placed)
+                totals.hosts.insert(task.host);
+        });
         return totals;
     }
 
@@ -97,17 +93,10 @@
 void ServiceLevelMonitor::sampleJob(const Job& job, const HostRegistry& hosts, Duration elapsed)
 {
     JobTimes& sums = m_jobs.try_emplace(job.id(), JobTimes { {}, m_clock.now() }).first->second;
-    for (const auto& [number, occurrence] : job.occurrences()) {
-        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (!job.spec().steps[step].longRunning)
-                continue;
-            const std::vector<TaskState>& tasks = occurrence.steps[step].tasks;
-            for (uint32_t index = 0; index < tasks.size(); ++index) {
-                const State state = stateOf(hosts, { job.id(), number, step, index }, tasks[index]);
-                sums.times[static_cast<size_t>(state)] += elapsed;
-            }
-        }
-    }
+    job.forEachTask([&](const TaskId& id, const TaskState& task) {
+        if (job.spec().steps[id.step].longRunning)
+            sums.times[static_cast<size_t>(stateOf(hosts, id, task))] += elapsed;
+    });
     if (m_clock.now() - sums.since >= m_settings.logInterval)
         logIfDegraded(job, sums);
 }
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -123,6 +123,21 @@
             return spec;
         }
 
+        static StepSpec longRunningStep(int64_t cpu)
+        {
+            StepSpec spec = step(1, cpu);
+            spec.longRunning = true;
+            return spec;
+        }
+
+        static StepSpec bestEffortStep(bool checkpoints)
+        {
+            StepSpec spec = step(1, 1000);
+            spec.bestEffort = true;
+            spec.checkpoints = checkpoints;
+            return spec;
+        }
+
         void submit(const std::string& id, std::vector<StepSpec> steps, int64_t attempts = 2)
         {
             QueuePolicy policy;
@@ -358,18 +373,13 @@
         Entry entry("entry-1", m_journal, m_timers, m_clock);
         becomeOwner(entry);
         connect(entry, "host-1");
-        const auto longRunning = [](int64_t cpu) {
-            StepSpec spec = step(1, cpu);
-            spec.longRunning = true;
-            return spec;
-        };
         submit("a-short", { step(2, 2000) });
-        submit("b-watch", { longRunning(2000) });
+        submit("b-watch", { longRunningStep(2000) });
         run(entry, Duration { 150 });
         ASSERT_EQ(entry.sender.starts.size(), 3u);
-        submit("c-large", { longRunning(6000) });
+        submit("c-large", { longRunningStep(6000) });
         run(entry, Duration { 100 });
-        submit("d-small", { longRunning(2000) });
+        submit("d-small", { longRunningStep(2000) });
         run(entry, Duration { 100 });
         EXPECT_EQ(entry.sender.starts.size(), 3u);
 
@@ -392,8 +402,6 @@
         Entry entry("entry-1", m_journal, m_timers, m_clock);
         becomeOwner(entry);
         connect(entry, "host-1");
-        StepSpec large = step(1, 6000);
-        large.longRunning = true;
         const auto isLarge = [](const auto& start) { return start.second.task == "large.0.0.0"; };
         std::vector<Duration> startedAt; // Of the runs in entry.sender.starts.
         size_t ended = 0;
@@ -403,7 +411,7 @@
              time += Duration { 200 }) {
             submit("short-" + std::to_string(time.count()), { step(1, 4000) });
             if (time == Duration { 400 })
-                submit("large", { large });
+                submit("large", { longRunningStep(6000) });
             run(entry, Duration { 200 });
             startedAt.resize(entry.sender.starts.size(), time);
             HostReport report = reportOf("host-1");
@@ -427,10 +435,7 @@
         Entry entry("entry-1", m_journal, m_timers, m_clock);
         becomeOwner(entry);
         connect(entry, "host-1");
-        StepSpec bestEffort = step(1, 1000);
-        bestEffort.bestEffort = true;
-        bestEffort.checkpoints = true;
-        submit("job", { bestEffort });
+        submit("job", { bestEffortStep(true) });
         run(entry, Duration { 150 });
         ASSERT_EQ(entry.sender.starts.size(), 1u);
         HostReport report = reportOf("host-1");
@@ -462,9 +467,7 @@
         Entry entry("entry-1", m_journal, m_timers, m_clock);
         becomeOwner(entry);
         connect(entry, "host-1");
-        StepSpec bestEffort = step(1, 1000);
-        bestEffort.bestEffort = true;
-        submit("job", { bestEffort });
+        submit("job", { bestEffortStep(false) });
         run(entry, Duration { 150 });
         HostReport report = reportOf("host-1");
         report.settledOrders = 1;
@@ -484,14 +487,10 @@
         Entry entry("entry-1", m_journal, m_timers, m_clock);
         becomeOwner(entry);
         connect(entry, "host-1");
-        StepSpec watch = step(1, 3000);
-        watch.longRunning = true;
-        submit("a-watch", { watch });
+        submit("a-watch", { longRunningStep(3000) });
         run(entry, Duration { 150 });
-        StepSpec large = step(1, 6000);
-        large.longRunning = true;
-        submit("b-large", { large });
-        submit("c-small", { watch });
+        submit("b-large", { longRunningStep(6000) });
+        submit("c-small", { longRunningStep(3000) });
         submit("d-short", { step(1, 1000) });
         run(entry, Duration { 150 });
         EXPECT_EQ(entry.sender.starts.size(), 3u);
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -101,11 +101,17 @@
         }
 
         void order(uint64_t epoch, uint64_t sequence, const std::string& task, uint32_t attempt)
+        {
+            orderSentAt(workerClock(), epoch, sequence, task, attempt);
+        }
+
+        /// As `order`, for a message with an earlier reading of the worker's clock.
+        void orderSentAt(int64_t echoMs, uint64_t epoch, uint64_t sequence, const std::string& task, uint32_t attempt)
         {
             HostOrders orders;
             orders.epoch = epoch;
             orders.life = life;
-            orders.echoMs = workerClock();
+            orders.echoMs = echoMs;
             RunOrder start;
             start.sequence = sequence;
             start.task = task;
@@ -133,18 +139,10 @@
     // given up: a link held the order back for 3.1 s while the lease stayed valid (soak seed 29).
     TEST_F(HostAgentTest, start_orderArrivesLate_isRefusedDespiteValidLease)
     {
-        HostOrders late;
-        late.epoch = 7;
-        late.life = life;
-        late.echoMs = workerClock();
-        RunOrder start;
-        start.sequence = 1;
-        start.task = "job.0.0.0";
-        start.attempt = 1;
-        late.starts.push_back(start);
+        const int64_t sentAt = workerClock();
         m_timers.run(Duration { 2600 });
         connect(7);
-        m_agent.handleOrders(late);
+        orderSentAt(sentAt, 7, 1, "job.0.0.0", 1);
         EXPECT_TRUE(m_worker.starts.empty());
         ASSERT_EQ(lastReport().refusals.size(), 1u);
         EXPECT_EQ(lastReport().refusals[0].reason, "order_late");
