Pack the reports of hosts and let them wait for the owner

Cause: an agent sent its whole list of runs and all ends without an acknowledgement with each poll, at most every 150 ms while ends waited, with the names of all fields. The slower the owner answered, the more ends each report repeated. Change: once the owner says that it reads them, an agent sends packed reports: names once a connection, then what changed. A report waits, for 1 s at most, while the owner has not read the three before. Owners and agents of earlier builds keep the former messages. A report that cannot be read closes its connection.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -301,7 +301,7 @@
         host.outbox.acknowledgedEnds = host.endsDurable;
         host.orderedAt = now;
         host.leaseEnd = now + m_settings.lease + m_settings.leaseMargin;
-        m_sender.send(name, orders);
+        m_sender.send(name, std::move(orders));
     }
 }
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -18,7 +18,7 @@
 class OrderSender {
 public:
     virtual ~OrderSender() = default;
-    virtual void send(const std::string& host, const HostOrders& orders) = 0;
+    virtual void send(const std::string& host, HostOrders orders) = 0;
 };
 
 /// Calendar time, used only for scheduled jobs. It may jump forwards or backwards.
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -66,6 +66,9 @@
     ++m_connection;
     m_highestOrder = 0;
     m_settledOrders = 0;
+    m_reportsSent = 0;
+    m_reportsRead = 0;
+    m_ownerCountsReports = false;
     report(true);
 }
 
@@ -78,6 +81,8 @@
     if (orders.epoch > m_epochSeen)
         LogEvent(LogLevel::Info, "owner_accepted").field("epoch", orders.epoch).field("former", m_epochSeen);
     m_epochSeen = orders.epoch;
+    m_ownerCountsReports |= orders.readsPackedReports;
+    m_reportsRead = std::max(m_reportsRead, orders.reportsRead);
     const bool sameLife = orders.life == m_life;
     if (sameLife && orders.echoMs > 0)
         m_leaseUntilMs = std::max<int64_t>(m_leaseUntilMs, orders.echoMs + m_settings.lease.count());
@@ -99,6 +104,8 @@
         std::erase_if(m_ends, [this](const RunEnd& end) { return end.number <= m_acknowledgedEnds; });
         schedulePoll(Duration { 0 });
     }
+    if (m_isReportWaiting && !mustReportWait())
+        sendReport();
     return true;
 }
 
@@ -349,8 +356,34 @@
     return static_cast<double>((elapsed - m_settings.leaseExpiryMargin).count()) > left;
 }
 
+bool HostAgent::mustReportWait() const
+{
+    return m_ownerCountsReports && m_reportsSent >= m_reportsRead + m_settings.maxUnreadReports
+        && m_clock.now() - m_reportedAt < m_settings.maxReportDelay;
+}
+
 void HostAgent::report(bool full)
 {
+    m_isWaitingReportFull |= full;
+    if (!m_isReportWaiting && mustReportWait()) {
+        m_isReportWaiting = true;
+        const Duration left = m_settings.maxReportDelay - (m_clock.now() - m_reportedAt);
+        m_timers.after(left, [this] {
+            if (m_isReportWaiting)
+                sendReport();
+        });
+        return;
+    }
+    if (!m_isReportWaiting || !mustReportWait())
+        sendReport();
+}
+
+void HostAgent::sendReport()
+{
+    const bool full = std::exchange(m_isWaitingReportFull, false);
+    m_isReportWaiting = false;
+    m_reportedAt = m_clock.now();
+    ++m_reportsSent;
     HostReport message;
     message.host = m_settings.host;
     message.epochSeen = m_epochSeen;
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -56,6 +56,14 @@
         /// s.
         Duration maxOrderAge { 2500 };
 
+        /// A report waits while the owner has not read this many earlier ones: they would only queue on the owner's
+        /// link, and the next report contains all that they say.
+        uint64_t maxUnreadReports { 3 };
+
+        /// A report does not wait longer than this: an owner without authority sends no orders, and the owner replaces
+        /// a connection without reports for 2 s.
+        Duration maxReportDelay { 1000 };
+
         /// Delay before an unanswered stop is repeated.
         Duration stopRetry { 400 };
 
@@ -126,6 +134,8 @@
     void updateThrottling();
     uint64_t settledOrders() const;
     void report(bool full);
+    bool mustReportWait() const;
+    void sendReport();
 
     WorkerPort& m_worker;
     ReportSender& m_sender;
@@ -138,6 +148,12 @@
     uint64_t m_connection { 0 }; ///< Number of connections to owners so far.
     uint64_t m_highestOrder { 0 }; ///< Of the current connection.
     uint64_t m_settledOrders { 0 };
+    uint64_t m_reportsSent { 0 }; ///< On the current connection.
+    uint64_t m_reportsRead { 0 }; ///< Of these, those that the owner has read.
+    bool m_ownerCountsReports { false };
+    Instant m_reportedAt {};
+    bool m_isReportWaiting { false };
+    bool m_isWaitingReportFull { false };
 
     uint64_t m_fence { 0 }; ///< 0 until the worker's clock is known.
     int64_t m_life { 0 };
--- a/src/node/DispatchAgent.cpp
+++ b/src/node/DispatchAgent.cpp
@@ -55,8 +55,8 @@
 
 void DispatchAgent::accepted(std::unique_ptr<FrameConnection> connection)
 {
-    const auto position = m_connections.insert(m_connections.end(), std::move(connection));
-    (*position)->setCallbacks({
+    const auto position = m_connections.insert(m_connections.end(), Peer { std::move(connection), false, {} });
+    position->connection->setCallbacks({
         [this, position](const Message& message) { received(position, message); },
         [this, position] { closed(position); },
     });
@@ -70,8 +70,9 @@
     if (orders->epoch < m_agent.epochSeen())
         return closed(connection);
     m_lastOrdersAt = m_clock.now();
-    if (m_owner != connection->get()) {
-        m_owner = connection->get();
+    connection->readsPackedReports |= orders->readsPackedReports;
+    if (m_owner != &*connection) {
+        m_owner = &*connection;
         m_agent.handleOwnerConnected();
     }
     m_agent.handleOrders(*orders);
@@ -79,15 +80,19 @@
 
 void DispatchAgent::closed(Connections::iterator connection)
 {
-    if (m_owner == connection->get())
+    if (m_owner == &*connection)
         m_owner = nullptr;
     m_connections.erase(connection);
 }
 
 void DispatchAgent::send(const HostReport& report)
 {
-    if (m_owner)
-        m_owner->send(report);
+    if (!m_owner)
+        return;
+    if (m_owner->readsPackedReports)
+        m_owner->connection->send(m_owner->packer.pack(report));
+    else
+        m_owner->connection->send(report);
 }
 
 } // namespace hemlocklead
--- a/src/node/DispatchAgent.h
+++ b/src/node/DispatchAgent.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/HostAgent.h"
 #include "node/LoopTimers.h"
+#include "protocol/ReportPacking.h"
 #include "transport/FrameListener.h"
 
 #include <list>
@@ -29,7 +30,13 @@
     Counters& counters() { return m_counters; }
 
 private:
-    using Connections = std::list<std::unique_ptr<FrameConnection>>;
+    /// A connection from an entry.
+    struct Peer {
+        std::unique_ptr<FrameConnection> connection;
+        bool readsPackedReports { false };
+        HostReportPacker packer;
+    };
+    using Connections = std::list<Peer>;
 
     void send(const HostReport& report) override;
     void accepted(std::unique_ptr<FrameConnection> connection);
@@ -47,7 +54,7 @@
     dispatch::HostAgent m_agent;
     FrameListener m_listener;
     Connections m_connections;
-    FrameConnection* m_owner { nullptr };
+    Peer* m_owner { nullptr };
     Instant m_lastOrdersAt {};
     Timer m_ownerTimer;
 };
--- a/src/node/HostLinks.cpp
+++ b/src/node/HostLinks.cpp
@@ -24,8 +24,7 @@
                 .field("host", host)
                 .field("address", link.address)
                 .field("silent_ms", static_cast<int64_t>((now - link.lastReportAt).count()));
-            link.connection.reset();
-            m_dispatcher->hostDisconnected(host);
+            drop(host, link);
         }
         if (!link.connection && now - link.openedAt >= m_settings.reconnectDelay)
             open(host, member.address, link, epoch);
@@ -37,6 +36,8 @@
     link.openedAt = m_clock.now();
     link.lastReportAt = link.openedAt;
     link.address = addressText;
+    link.unpacker = {};
+    link.reportsRead = 0;
     const Address address = orElse([&] { return parseAddress(addressText); },
         [&](const Error& error) {
             LogEvent(LogLevel::Warning, "host_address_unreadable").field("host", host).field("reason", error.message);
@@ -53,19 +54,38 @@
     // Sends the epoch of the connecting owner; the agent responds with a report.
     HostOrders firstOrders;
     firstOrders.epoch = epoch;
+    firstOrders.readsPackedReports = true;
     link.connection->send(firstOrders);
 }
 
+void HostLinks::drop(const std::string& host, Link& link)
+{
+    link.connection.reset();
+    m_dispatcher->hostDisconnected(host);
+}
+
 void HostLinks::received(const std::string& host, const Message& message)
 {
-    const auto* report = std::get_if<HostReport>(&message);
-    if (!report)
-        return;
     Link& link = m_links[host];
+    if (const auto* report = std::get_if<HostReport>(&message))
+        return reported(host, link, *report);
+    const auto* packed = std::get_if<PackedHostReport>(&message);
+    if (!packed)
+        return;
+    const std::optional<HostReport> report = link.unpacker.unpack(*packed);
+    if (report)
+        return reported(host, link, *report);
+    LogEvent(LogLevel::Warning, "report_unreadable").field("host", host).field("address", link.address);
+    drop(host, link);
+}
+
+void HostLinks::reported(const std::string& host, Link& link, const HostReport& report)
+{
     if (link.lastReportAt == link.openedAt)
         LogEvent(LogLevel::Info, "host_link_open").field("host", host).field("address", link.address);
     link.lastReportAt = m_clock.now();
-    m_dispatcher->hostReported(host, *report);
+    ++link.reportsRead;
+    m_dispatcher->hostReported(host, report);
 }
 
 void HostLinks::closed(const std::string& host)
@@ -77,11 +97,13 @@
 
 void HostLinks::closeAll() { m_links.clear(); }
 
-void HostLinks::send(const std::string& host, const HostOrders& orders)
+void HostLinks::send(const std::string& host, HostOrders orders)
 {
     const auto link = m_links.find(host);
-    if (link != m_links.end() && link->second.connection)
-        link->second.connection->send(orders);
+    if (link == m_links.end() || !link->second.connection)
+        return;
+    orders.reportsRead = link->second.reportsRead;
+    link->second.connection->send(orders);
 }
 
 } // namespace hemlocklead
--- a/src/node/HostLinks.h
+++ b/src/node/HostLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/Dispatcher.h"
+#include "protocol/ReportPacking.h"
 #include "transport/FrameConnection.h"
 
 #include <map>
@@ -27,7 +28,7 @@
 
     void closeAll();
 
-    void send(const std::string& host, const HostOrders& orders) override;
+    void send(const std::string& host, HostOrders orders) override;
 
 private:
     struct Link {
@@ -35,10 +36,14 @@
         std::string address;
         Instant lastReportAt {};
         Instant openedAt {};
+        HostReportUnpacker unpacker;
+        uint64_t reportsRead { 0 };
     };
 
     void open(const std::string& host, const std::string& address, Link& link, uint64_t epoch);
     void received(const std::string& host, const Message& message);
+    void reported(const std::string& host, Link& link, const HostReport& report);
+    void drop(const std::string& host, Link& link);
     void closed(const std::string& host);
 
     EventLoop& m_loop;
--- a/src/protocol/Codec.cpp
+++ b/src/protocol/Codec.cpp
@@ -15,7 +15,8 @@
     constexpr std::array<std::string_view, std::variant_size_v<Message>> messageNames { "hello", "keepalive",
         "keepalive-reply", "leaving", "reserve", "reserve-reply", "start", "start-reply", "renew", "stop",
         "attempt-ended", "attempt-ended-ack", "checkpointed", "call", "call-reply", "call-cancel", "peer-ping",
-        "peer-pong", "state-request", "state-reply", "forward", "forward-reply", "host-report", "host-orders" };
+        "peer-pong", "state-request", "state-reply", "forward", "forward-reply", "host-report", "host-orders",
+        "packed-host-report" };
 
     using Decoder = Message (*)(const Json&);
 
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -101,6 +101,11 @@
     std::vector<RunRefusal> refusals;
 };
 
+/// A HostReport that a HostReportPacker has packed. Sent instead of it once the owner has announced that it reads it.
+struct PackedHostReport {
+    std::string data;
+};
+
 /// Orders from the owner to an agent; also extends the leases on the worker.
 struct HostOrders {
     uint64_t epoch { 0 };
@@ -111,6 +116,8 @@
     std::vector<RunStop> stops;
     std::vector<RunOrder> known; ///< Descriptions of attempts that already run.
     std::vector<PairInterference> disturbances; ///< Changed estimates for images that run on the host.
+    bool readsPackedReports { false }; ///< The owner reads packed reports. Set in the first message of a connection.
+    uint64_t reportsRead { 0 }; ///< Number of reports that the owner has read on this connection.
 };
 
 } // namespace hemlocklead
--- a/src/protocol/Messages.h
+++ b/src/protocol/Messages.h
@@ -252,6 +252,6 @@
 
 using Message = std::variant<Hello, Keepalive, KeepaliveReply, Leaving, Reserve, ReserveReply, Start, StartReply, Renew,
     Stop, AttemptEnded, AttemptEndedAck, Checkpointed, Call, CallReply, CallCancel, PeerPing, PeerPong, StateRequest,
-    StateReply, Forward, ForwardReply, HostReport, HostOrders>;
+    StateReply, Forward, ForwardReply, HostReport, HostOrders, PackedHostReport>;
 
 } // namespace hemlocklead
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -14,7 +14,7 @@
     /// Records the orders of all hosts.
     class RecordingSender final : public OrderSender {
     public:
-        void send(const std::string& host, const HostOrders& orders) override
+        void send(const std::string& host, HostOrders orders) override
         {
             for (const RunOrder& start : orders.starts)
                 starts.emplace_back(host, start);
