Pack the records of jobs and decode them only at the owner

Cause: with each change of a task the owner records the whole job as JSON, reads its own record back, and every other entry reads and decodes it: at 55 entries 55 times, though only its phase matters there. Entries keep a packed record as bytes until they own the jobs. The owner writes packed records once all known entries announce that they read them, since an entry of an earlier build would skip them and run all tasks again as the next owner; JSON records are still read.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -182,10 +182,11 @@
     std::vector<JournalRecord> records;
     Commit commit;
     size_t bytes = 0;
+    const RecordFormat format = m_registry.recordFormat();
     for (auto dirty = m_dirtyJobs.begin(); dirty != m_dirtyJobs.end() && bytes < m_settings.maxCommitBytes;) {
         const Job* job = m_registry.find(*dirty);
         if (job) {
-            records.push_back({ stateKey(job->id()), jsonText(job->record(m_writer.epoch())), 0 });
+            records.push_back({ stateKey(job->id()), recordValue(*job, m_writer.epoch(), format), 0 });
             bytes += records.back().value->size();
             commit.jobs.emplace_back(job->id(), job->phase());
         }
--- a/src/dispatch/JobRegistry.cpp
+++ b/src/dispatch/JobRegistry.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Log.h"
 
+#include <algorithm>
+
 namespace hemlocklead::dispatch {
 
 namespace {
@@ -38,7 +40,8 @@
 
 std::string entryValue(const EntryMember& entry)
 {
-    return jsonText({ { "incarnation", entry.incarnation }, { "processor_share", entry.processorShare } });
+    return jsonText({ { "incarnation", entry.incarnation }, { "processor_share", entry.processorShare },
+        { "record_format", entry.recordFormat } });
 }
 
 JobRegistry::JobRegistry(const Clock& clock, Counters& counters)
@@ -64,6 +67,7 @@
 {
     m_jobs.clear();
     m_unmatchedStates.clear();
+    m_packedStates.clear();
     m_unmatchedCancels.clear();
     m_entries.clear();
     m_hosts.clear();
@@ -79,23 +83,30 @@
     for (const RecordKind& kind : recordKinds()) {
         if (!record.key.starts_with(kind.prefix))
             continue;
+        if (kind.prefix == statePrefix && isPackedRecord(*record.value))
+            return applyPackedState(record.key.substr(statePrefix.size()), record);
         const Json value = Json::parse(*record.value, nullptr, false);
         try {
             if (!value.is_object())
                 throw Json::other_error::create(501, "not an object", &value);
             (this->*kind.apply)(record.key.substr(kind.prefix.size()), record, value);
         } catch (const Json::exception& error) {
-            m_counters.add("journal_records_skipped");
-            LogEvent(LogLevel::Warning, "journal_record_skipped")
-                .field("key", record.key)
-                .field("offset", record.offset)
-                .field("reason", error.what());
+            skip(record, error.what());
         }
         return;
     }
     m_counters.add("journal_records_skipped");
 }
 
+void JobRegistry::skip(const JournalRecord& record, std::string_view reason)
+{
+    m_counters.add("journal_records_skipped");
+    LogEvent(LogLevel::Warning, "journal_record_skipped")
+        .field("key", record.key)
+        .field("offset", record.offset)
+        .field("reason", reason);
+}
+
 void JobRegistry::applyJob(const std::string& id, const JournalRecord& record, const Json& value)
 {
     // Submissions are idempotent: a second record of the same job has no effect.
@@ -112,6 +123,13 @@
         added.applyRecord(unmatched.mapped());
         added.publishCurrentPhase();
     }
+    if (const auto packed = m_packedStates.find(id); packed != m_packedStates.end()) {
+        if (const std::optional<PackedRecordHeader> header = packedRecordHeader(packed->second))
+            added.setPhase(header->phase);
+        added.publishCurrentPhase();
+        if (m_ownEpoch)
+            decodeState(added);
+    }
     const bool cancelled = m_unmatchedCancels.erase(id) > 0;
     if (m_listener)
         m_listener->jobAccepted(added);
@@ -124,6 +142,7 @@
     m_ownerSeenAt = m_clock.now();
     if (m_ownEpoch && value.value("epoch", uint64_t { 0 }) == *m_ownEpoch)
         return;
+    m_packedStates.erase(id);
     Job* job = find(id);
     if (!job) {
         m_unmatchedStates.insert_or_assign(id, value);
@@ -133,6 +152,51 @@
     job->publishCurrentPhase();
 }
 
+void JobRegistry::applyPackedState(const std::string& id, const JournalRecord& record)
+{
+    m_ownerSeenAt = m_clock.now();
+    const std::optional<PackedRecordHeader> header = packedRecordHeader(*record.value);
+    if (!header)
+        return skip(record, "malformed packed record");
+    if (m_ownEpoch && header->epoch == *m_ownEpoch)
+        return;
+    m_unmatchedStates.erase(id);
+    m_packedStates.insert_or_assign(id, *record.value);
+    Job* job = find(id);
+    if (!job)
+        return;
+    job->setPhase(header->phase);
+    job->publishCurrentPhase();
+    if (m_ownEpoch)
+        decodeState(*job);
+}
+
+void JobRegistry::decodeState(Job& job)
+{
+    const auto packed = m_packedStates.extract(job.id());
+    if (packed.empty())
+        return;
+    if (!applyPackedRecord(job, packed.mapped()))
+        return skip({ stateKey(job.id()), std::nullopt, 0 }, "malformed packed record");
+    job.publishCurrentPhase();
+}
+
+void JobRegistry::setOwnEpoch(std::optional<uint64_t> epoch)
+{
+    m_ownEpoch = epoch;
+    if (!epoch)
+        return;
+    for (const auto& [id, job] : m_jobs)
+        decodeState(*job);
+}
+
+RecordFormat JobRegistry::recordFormat() const
+{
+    const bool allReadPacked = std::ranges::all_of(
+        m_entries, [](const auto& entry) { return entry.second.recordFormat >= recordFormatVersion; });
+    return allReadPacked ? RecordFormat::Packed : RecordFormat::Json;
+}
+
 void JobRegistry::applyCancel(const std::string& id, const JournalRecord&, const Json&)
 {
     if (Job* job = find(id))
@@ -169,13 +233,14 @@
 
 void JobRegistry::applyEntry(const std::string& name, const JournalRecord&, const Json& value)
 {
-    m_entries[name] = { value.value("incarnation", uint64_t { 0 }), value.value("processor_share", 0.0) };
+    m_entries[name] = { value.value("incarnation", uint64_t { 0 }), value.value("processor_share", 0.0),
+        value.value("record_format", 0u) };
 }
 
 void JobRegistry::applyRemoval(const std::string& key)
 {
     if (key.starts_with(jobPrefix))
-        m_jobs.erase(key.substr(jobPrefix.size()));
+        erase(key.substr(jobPrefix.size()));
     if (key.starts_with(hostPrefix)) {
         const std::string name = key.substr(hostPrefix.size());
         m_hosts.erase(name);
@@ -192,7 +257,11 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
-void JobRegistry::erase(const std::string& id) { m_jobs.erase(id); }
+void JobRegistry::erase(const std::string& id)
+{
+    m_jobs.erase(id);
+    m_packedStates.erase(id);
+}
 
 int64_t JobRegistry::pending(const std::string& queue) const
 {
--- a/src/dispatch/JobRegistry.h
+++ b/src/dispatch/JobRegistry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/Counters.h"
-#include "dispatch/JobState.h"
+#include "dispatch/JobRecord.h"
 #include "dispatch/JournalFollower.h"
 
 #include <map>
@@ -22,6 +22,7 @@
 struct EntryMember {
     uint64_t incarnation { 0 };
     double processorShare { 0 }; ///< In cores; entries with a larger share claim the ownership first.
+    uint32_t recordFormat { 0 }; ///< Version of the record format that it reads; 0 in builds that do not announce it.
 };
 
 /// The agent of a host, with the address at which the owner connects to it.
@@ -54,7 +55,13 @@
     void caughtUp() override { }
 
     /// State records of this epoch are not applied: the owner's state in memory is ahead of its own records.
-    void setOwnEpoch(std::optional<uint64_t> epoch) { m_ownEpoch = epoch; }
+    ///
+    /// Packed records of other epochs are decoded only once this is set: until then only their phases matter, and most
+    /// entries never own the jobs.
+    void setOwnEpoch(std::optional<uint64_t> epoch);
+
+    /// The newest format of records that all known entries read.
+    RecordFormat recordFormat() const;
 
     Job* find(const std::string& id);
     std::map<std::string, std::unique_ptr<Job>>& jobs() { return m_jobs; }
@@ -89,6 +96,9 @@
     void applyEntry(const std::string& name, const JournalRecord& record, const Json& value);
     void applyRemoval(const std::string& key);
     void cancel(Job& job);
+    void applyPackedState(const std::string& id, const JournalRecord& record);
+    void decodeState(Job& job);
+    void skip(const JournalRecord& record, std::string_view reason);
 
     const Clock& m_clock;
     Counters& m_counters;
@@ -96,6 +106,8 @@
     std::optional<uint64_t> m_ownEpoch;
     std::map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, Json> m_unmatchedStates; ///< Progress of jobs whose job record has not been read yet.
+    std::map<std::string, std::string>
+        m_packedStates; ///< Newest progress of jobs that has not been decoded, by job id.
     std::set<std::string> m_unmatchedCancels; ///< Cancellations of such jobs.
     OwnerRecord m_owner;
     Instant m_ownerSeenAt {};
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -129,9 +129,10 @@
     /// Replaces the progress by that in a record. Rows that do not match the spec are skipped.
     void applyRecord(const Json& record);
 
-private:
+    /// Counts the tasks by phase again after their phases were replaced.
     void recount();
 
+private:
     std::string m_id;
     QueuePolicy m_policy;
     JobSpec m_spec;
--- a/src/node/DispatchEntry.cpp
+++ b/src/node/DispatchEntry.cpp
@@ -60,7 +60,8 @@
 
 void DispatchEntry::announce()
 {
-    const std::string value = dispatch::entryValue({ m_incarnation, m_settings.processorShare });
+    const std::string value
+        = dispatch::entryValue({ m_incarnation, m_settings.processorShare, dispatch::recordFormatVersion });
     m_callerWrites.append({ { dispatch::entryKey(m_settings.name), value, 0 } }, std::nullopt, announceTimeout,
         [this](dispatch::AppendStatus status) {
             if (status != dispatch::AppendStatus::Done)
