Claim the ownership in two steps, one candidate at a time

Cause: an entry took 2.2 s without a record of the owner as evidence that the owner is gone, and waited 250 ms a rank. Owner and claimants also gave up an append after 1 s and sent it again while the first still waited in the store's queue of up to 2 s. Change: an entry first appends a candidacy. The time for an answer to an append follows the measured one, 1 to 4 s.

--- a/src/dispatch/JobRegistry.cpp
+++ b/src/dispatch/JobRegistry.cpp
@@ -33,6 +33,12 @@
         { "released", owner.released } });
 }
 
+std::string candidateValue(const Candidacy& candidacy)
+{
+    return jsonText({ { "former_epoch", candidacy.formerEpoch }, { "entry", candidacy.entry },
+        { "incarnation", candidacy.incarnation } });
+}
+
 std::string hostValue(const HostMember& host)
 {
     return jsonText({ { "address", host.address }, { "incarnation", host.incarnation } });
@@ -57,6 +63,7 @@
         { statePrefix, &JobRegistry::applyState },
         { cancelPrefix, &JobRegistry::applyCancel },
         { ownerKey, &JobRegistry::applyOwner },
+        { candidateKey, &JobRegistry::applyCandidate },
         { hostPrefix, &JobRegistry::applyHost },
         { entryPrefix, &JobRegistry::applyEntry },
     };
@@ -72,6 +79,7 @@
     m_entries.clear();
     m_hosts.clear();
     m_owner = {};
+    m_candidacies.clear();
     if (m_listener)
         m_listener->registryReset();
 }
@@ -221,9 +229,27 @@
     if (owner.epoch < m_owner.epoch)
         return;
     m_ownerSeenAt = m_clock.now();
+    if (owner.epoch != m_owner.epoch)
+        m_candidacies.clear();
     m_owner = std::move(owner);
 }
 
+void JobRegistry::applyCandidate(const std::string&, const JournalRecord& record, const Json& value)
+{
+    Candidacy candidacy { value.at("former_epoch").get<uint64_t>(), value.at("entry").get<std::string>(),
+        value.at("incarnation").get<uint64_t>(), record.offset, m_clock.now() };
+    if (candidacy.formerEpoch == m_owner.epoch)
+        m_candidacies.push_back(std::move(candidacy));
+}
+
+std::optional<Candidacy> JobRegistry::candidacy(Duration validity) const
+{
+    const Instant now = m_clock.now();
+    const auto first = std::ranges::find_if(
+        m_candidacies, [&](const Candidacy& candidacy) { return now - candidacy.seenAt < validity; });
+    return first == m_candidacies.end() ? std::nullopt : std::optional(*first);
+}
+
 void JobRegistry::applyHost(const std::string& name, const JournalRecord&, const Json& value)
 {
     m_hosts[name] = { value.at("address").get<std::string>(), value.value("incarnation", uint64_t { 0 }) };
--- a/src/dispatch/JobRegistry.h
+++ b/src/dispatch/JobRegistry.h
@@ -25,6 +25,16 @@
     uint32_t recordFormat { 0 }; ///< Version of the record format that it reads; 0 in builds that do not announce it.
 };
 
+/// An entry that is about to claim the ownership, according to the `candidate` records of the journal. Of the entries
+/// that want to replace one owner, the one whose record comes first may claim; the others wait.
+struct Candidacy {
+    uint64_t formerEpoch { 0 }; ///< Of the owner that it wants to replace.
+    std::string entry;
+    uint64_t incarnation { 0 }; ///< Of the entry's process.
+    uint64_t offset { 0 }; ///< Of its record in the journal.
+    Instant seenAt {}; ///< When this process read the record.
+};
+
 /// The agent of a host, with the address at which the owner connects to it.
 struct HostMember {
     std::string address;
@@ -70,6 +80,9 @@
     /// When this process last read a record written by the owner.
     Instant ownerSeenAt() const { return m_ownerSeenAt; }
 
+    /// The candidacy that comes first for the current owner's epoch, among those read within the last `validity`.
+    std::optional<Candidacy> candidacy(Duration validity) const;
+
     const std::map<std::string, EntryMember>& entries() const { return m_entries; }
     const std::map<std::string, HostMember>& hosts() const { return m_hosts; }
 
@@ -92,6 +105,7 @@
     void applyState(const std::string& name, const JournalRecord& record, const Json& value);
     void applyCancel(const std::string& name, const JournalRecord& record, const Json& value);
     void applyOwner(const std::string& name, const JournalRecord& record, const Json& value);
+    void applyCandidate(const std::string& name, const JournalRecord& record, const Json& value);
     void applyHost(const std::string& name, const JournalRecord& record, const Json& value);
     void applyEntry(const std::string& name, const JournalRecord& record, const Json& value);
     void applyRemoval(const std::string& key);
@@ -111,6 +125,7 @@
     std::set<std::string> m_unmatchedCancels; ///< Cancellations of such jobs.
     OwnerRecord m_owner;
     Instant m_ownerSeenAt {};
+    std::vector<Candidacy> m_candidacies; ///< For the current owner's epoch, in the order of the journal.
     std::map<std::string, EntryMember> m_entries;
     std::map<std::string, HostMember> m_hosts;
 };
@@ -122,10 +137,12 @@
 std::string hostKey(const std::string& host);
 std::string entryKey(const std::string& entry);
 constexpr std::string_view ownerKey = "owner/";
+constexpr std::string_view candidateKey = "candidate/";
 
 /// Values of journal records.
 std::string jobValue(const QueuePolicy& policy, const JobSpec& spec);
 std::string ownerValue(const OwnerRecord& owner);
+std::string candidateValue(const Candidacy& candidacy);
 std::string hostValue(const HostMember& host);
 std::string entryValue(const EntryMember& entry);
 
--- a/src/dispatch/JournalWriter.cpp
+++ b/src/dispatch/JournalWriter.cpp
@@ -13,6 +13,7 @@
     , m_timers(timers)
     , m_clock(clock)
     , m_settings(settings)
+    , m_timeout(settings.timeout)
 {
 }
 
@@ -48,7 +49,7 @@
 void JournalWriter::send()
 {
     const Instant sentAt = m_clock.now();
-    m_journal.append(m_records, AppendFence { m_epoch, m_sequence }, m_settings.timeout,
+    m_journal.append(m_records, AppendFence { m_epoch, m_sequence }, m_timeout,
         [this, sentAt, generation = m_generation](AppendStatus status) {
             if (generation == m_generation)
                 handleAnswer(status, sentAt);
@@ -60,6 +61,8 @@
     if (status == AppendStatus::Done) {
         m_inFlight = false;
         m_epochConfirmedAt = sentAt;
+        // Four times the time that this answer took leaves room for the next one to take longer.
+        m_timeout = std::clamp(4 * (m_clock.now() - sentAt), m_settings.timeout, m_settings.maxTimeout);
         m_records.clear();
         const std::function<void()> onDurable = std::exchange(m_onDurable, nullptr);
         return onDurable();
@@ -73,6 +76,8 @@
         close();
         return onFenced();
     }
+    if (status == AppendStatus::Unknown)
+        m_timeout = std::min(2 * m_timeout, m_settings.maxTimeout);
     // Repeats the append with the same sequence number; if the first append was recorded, the store answers with its
     // outcome and does not record it again.
     LogEvent(LogLevel::Warning, "append_unanswered")
--- a/src/dispatch/JournalWriter.h
+++ b/src/dispatch/JournalWriter.h
@@ -8,7 +8,11 @@
 class JournalWriter {
 public:
     struct Settings {
-        Duration timeout { 1000 }; ///< Time for an answer; then the connection is abandoned.
+        Duration timeout { 1000 }; ///< Shortest time for an answer; then the connection is abandoned.
+
+        /// The time for an answer doubles up to this with each append that is not answered. The store may hold an
+        /// append in its queue for 2 s; a repeat that is sent earlier only makes the queue longer.
+        Duration maxTimeout { 4000 };
         Duration retry { 100 }; ///< First delay before a repeat; doubles up to `maxRetry`.
         Duration maxRetry { 800 };
     };
@@ -50,6 +54,7 @@
     uint64_t m_sequence { 0 };
     bool m_inFlight { false };
     Duration m_retryDelay { 0 };
+    Duration m_timeout { 0 }; ///< For the next append.
     std::vector<JournalRecord> m_records;
     std::function<void()> m_onDurable;
     Instant m_epochConfirmedAt {};
--- a/src/node/DispatchEntry.cpp
+++ b/src/node/DispatchEntry.cpp
@@ -41,7 +41,8 @@
     , m_writer(writes, m_timers, m_clock, {})
     , m_links(loop, m_clock, m_jobs, {})
     , m_dispatcher(m_jobs, m_writer, m_links, m_clock, m_wallClock, m_counters, m_settings.dispatcher)
-    , m_ownership(m_jobs, m_follower, m_writer, m_clock, { .entry = m_settings.name, .incarnation = m_incarnation },
+    , m_ownership(m_jobs, m_follower, writes, m_writer, m_clock, m_counters,
+          { .entry = m_settings.name, .incarnation = m_incarnation },
           { [this](uint64_t, bool formerStopped) { ownershipAcquired(formerStopped); }, [this] { ownershipLost(); } })
     , m_jobRequests(m_jobs, m_follower, callerWrites, m_timers, m_clock, m_counters, {})
     , m_housekeepingTimer(loop)
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -44,7 +44,7 @@
             , follower(journal, timers, clock, registry, {})
             , writer(journal, timers, clock, {})
             , dispatcher(registry, writer, sender, clock, wallClock, counters, {})
-            , ownership(registry, follower, writer, clock,
+            , ownership(registry, follower, journal, writer, clock, counters,
                   { .entry = name, .incarnation = std::hash<std::string>()(name) },
                   { [this](uint64_t, bool stopped) { dispatcher.activate(stopped); },
                       [this] {
