Move best-effort runs only to hosts whose agents accept them

Cause: the owner took a host without paused best-effort tasks as one that accepts more, though its agent refuses them while a latency-critical task is over its target for long. Change: an agent reports whether it would refuse or pause a best-effort task now, and the owner places none there until it no longer does. A task is moved three times at most, each time after twice as long a pause. moves_of_one_task_max on the metrics address shows the bound. Conclusion: what the agent would say is known before the order.

--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -326,13 +326,18 @@
         run.pausedSince = now;
     const StepSpec& step = job.spec().steps[run.task.step];
     // Without checkpoints a move would discard the progress.
-    if (!step.checkpoints || run.stopping || now - *run.pausedSince < m_settings.moveTime)
+    if (!step.checkpoints || run.stopping)
+        return;
+    TaskState& task = *job.find(run.task);
+    if (task.moves >= m_settings.maxMoves || now - *run.pausedSince < m_settings.moveTime * (1 << task.moves))
         return;
     const StepState& state = job.occurrence(run.task.occurrence).steps[run.task.step];
     const PlacementContext context = placementContext();
     if (!chooseHost(step, constraintsOf(job, state, step), context, bestEffortLimits(job, run.task.step, now)))
         return;
+    ++task.moves;
     m_counters.add("runs_moved");
+    m_counters.set("moves_of_one_task_max", std::max<int64_t>(m_counters.value("moves_of_one_task_max"), task.moves));
     LogEvent(LogLevel::Info, "run_moved")
         .field("host", host.name)
         .field("task", row.task)
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -398,6 +398,7 @@
     message.capacity = m_announcement.capacity;
     message.draining = m_announcement.draining;
     message.remainingMs = m_announcement.remainingMs;
+    message.refusesBestEffort = m_throttle.refusesBestEffort(m_clock.now());
     message.full = full && m_life != 0 && m_hasReadRuns && !message.silent;
     message.settledOrders = m_settledOrders;
     if (message.full) {
--- a/src/dispatch/HostRegistry.cpp
+++ b/src/dispatch/HostRegistry.cpp
@@ -21,6 +21,8 @@
 {
     // One and a half polls of the worker: by then a new report of the agent shows which tasks it has paused.
     constexpr Duration refusalValid { 700 };
+    if (last.refusesBestEffort)
+        return true;
     if (bestEffortRefusedAt && now - *bestEffortRefusedAt < refusalValid)
         return true;
     return std::ranges::any_of(
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -97,8 +97,8 @@
     /// Recomputes `latencyCriticalGroups` if runs or their speeds have changed.
     void refreshForecasts(const InterferenceModel& model);
 
-    /// Whether the agent has paused best-effort tasks to protect latency-critical ones, or has just refused one for
-    /// that reason.
+    /// Whether the agent has paused best-effort tasks to protect latency-critical ones, would pause any that started
+    /// now, or has just refused one for that reason.
     bool pausesBestEffort(Instant now) const;
 
     /// Processors that the best-effort tasks use at their current speed, by image.
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -36,6 +36,7 @@
     // Not recorded; only the owner maintains them.
     Instant notBefore {}; ///< A task whose start was refused is not placed again before this.
     int64_t percent { 0 };
+    uint32_t moves { 0 }; ///< Runs that were stopped so that the task continues on another host.
 
     bool wasPlaced() const { return attempt > 0; }
 
--- a/src/dispatch/ThrottleController.cpp
+++ b/src/dispatch/ThrottleController.cpp
@@ -92,15 +92,28 @@
     return m_settings.maxTimeOverTarget - m_settings.reactionTime - Duration { static_cast<int64_t>(decayMs) };
 }
 
+std::optional<Duration> ThrottleController::timeSincePauseDue(const LatencyCriticalTask& task, Instant now) const
+{
+    const auto overSince = m_overSince.find(task.task);
+    if (overSince == m_overSince.end() || !overSince->second)
+        return std::nullopt;
+    return now - *overSince->second - pauseDelay(task.tailRatio);
+}
+
+bool ThrottleController::refusesBestEffort(Instant now) const
+{
+    return std::ranges::any_of(m_latencyCritical, [&](const LatencyCriticalTask& task) {
+        const std::optional<Duration> time = timeSincePauseDue(task, now);
+        return time && *time >= Duration { 0 };
+    });
+}
+
 bool ThrottleController::mustPause(const BestEffortTask& bestEffortTask, Instant now) const
 {
     return std::ranges::any_of(m_latencyCritical, [&](const LatencyCriticalTask& task) {
-        const auto overSince = m_overSince.find(task.task);
-        if (overSince == m_overSince.end() || !overSince->second)
-            return false;
+        const std::optional<Duration> time = timeSincePauseDue(task, now);
         const bool isLikelyAntagonist = headroomUsed(task, bestEffortTask) >= m_settings.likelyAntagonistHeadroom;
-        const Duration extraDelay = isLikelyAntagonist ? Duration { 0 } : m_settings.unlikelyAntagonistDelay;
-        return now - *overSince->second >= pauseDelay(task.tailRatio) + extraDelay;
+        return time && *time >= (isLikelyAntagonist ? Duration { 0 } : m_settings.unlikelyAntagonistDelay);
     });
 }
 
--- a/src/dispatch/ThrottleController.h
+++ b/src/dispatch/ThrottleController.h
@@ -76,6 +76,9 @@
     /// Whether the task must be paused, or would have to be if it started now.
     bool mustPause(const BestEffortTask& bestEffortTask, Instant now) const;
 
+    /// Whether a best-effort task that started now would have to be paused, as a likely antagonist at least.
+    bool refusesBestEffort(Instant now) const;
+
     /// Sets the headroom of the latency-critical image that each core of the best-effort image uses; see
     /// InterferenceModel.
     void setInterference(const std::string& latencyCritical, const std::string& bestEffort, double headroomPerCore);
@@ -87,6 +90,10 @@
     double headroomUsed(const LatencyCriticalTask& task, const BestEffortTask& bestEffortTask) const;
     Duration pauseDelay(double tailRatio) const;
 
+    /// How long the task has been over its target beyond the time that users tolerate; negative before that, nullopt
+    /// while it is not over its target.
+    std::optional<Duration> timeSincePauseDue(const LatencyCriticalTask& task, Instant now) const;
+
     Settings m_settings;
     /// By latency-critical and best-effort image.
     std::map<std::pair<std::string, std::string>, double> m_headroomPerCore;
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -93,6 +93,7 @@
     int64_t remainingMs { 0 }; ///< Least time until a draining worker shuts down.
     bool silent { false }; ///< The worker does not answer.
     bool lapsed { false }; ///< Unresponsive for so long that every lease on it has expired.
+    bool refusesBestEffort { false }; ///< The agent would refuse or pause a best-effort task that starts now.
     bool full { false }; ///< `running` and `pending` are complete.
     uint64_t settledOrders { 0 }; ///< Orders up to this one were carried out or refused before `running` was read.
     std::vector<RunReport> running;
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -461,6 +461,65 @@
         EXPECT_EQ(entry.sender.starts[1].second.checkpoint, "saved");
     }
 
+    // Load pattern: the latency-critical tasks of a host are over their target by their own users' load, and no
+    // best-effort task is left beside them. Guards against a run that is moved there and refused: three of four moves
+    // on the large site were.
+    TEST_F(DispatcherTest, bestEffortRun_onlyHostLeftRefusesBestEffort_isNeitherMovedNorPlacedThere)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { bestEffortStep(true) });
+        run(entry, Duration { 150 });
+        HostReport paused = reportOf("host-1");
+        paused.settledOrders = 1;
+        paused.running = { { "job.0.0.0", 1, "saved", 50, 0 } };
+        HostReport refusing = reportOf("host-2");
+        refusing.refusesBestEffort = true;
+        entry.dispatcher.hostConnected("host-2");
+        submit("younger", { bestEffortStep(true) });
+        for (int i = 0; i < 20; ++i) {
+            entry.dispatcher.hostReported("host-1", paused);
+            entry.dispatcher.hostReported("host-2", refusing);
+            run(entry, Duration { 150 });
+        }
+        EXPECT_TRUE(entry.sender.stops.empty());
+        EXPECT_EQ(entry.sender.starts.size(), 1u);
+        refusing.refusesBestEffort = false;
+        entry.dispatcher.hostReported("host-2", refusing);
+        run(entry, Duration { 150 });
+        ASSERT_GE(entry.sender.starts.size(), 2u);
+        EXPECT_EQ(entry.sender.starts[1].first, "host-2");
+    }
+
+    // Guards against a task that is moved from pause to pause: each move costs the work since its last checkpoint.
+    TEST_F(DispatcherTest, bestEffortRun_pausedOnEachHost_isMovedABoundedNumberOfTimes)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { bestEffortStep(true) });
+        run(entry, Duration { 150 });
+        connect(entry, "host-2");
+        std::map<std::string, uint64_t> ends;
+        for (int i = 0; i < 400; ++i) {
+            const auto& [host, order] = entry.sender.starts.back();
+            const bool isStopped = entry.sender.stops.size() == entry.sender.starts.size();
+            HostReport report = reportOf(host);
+            report.settledOrders = 1000;
+            if (isStopped)
+                report.ends = { { ++ends[host], order.task, order.attempt, "stopped", "saved" } };
+            else
+                report.running = { { order.task, order.attempt, "saved", 50, 0 } };
+            entry.dispatcher.hostReported(host, report);
+            const std::string other = host == "host-1" ? "host-2" : "host-1";
+            entry.dispatcher.hostReported(other, reportOf(other));
+            run(entry, Duration { 150 });
+        }
+        EXPECT_LE(entry.sender.starts.size(), 4u);
+        EXPECT_GE(entry.sender.starts.size(), 2u);
+    }
+
     // Guards against lost progress: a best-effort run without checkpoints would begin anew elsewhere.
     TEST_F(DispatcherTest, bestEffortRunWithoutCheckpoints_staysPaused_isNotStopped)
     {
--- a/tests/unit/ReportPackingTest.cpp
+++ b/tests/unit/ReportPackingTest.cpp
@@ -31,6 +31,7 @@
             m_report.clockMs += 450;
             m_report.full = !chance(10);
             m_report.silent = chance(20);
+            m_report.refusesBestEffort = chance(5);
             m_report.settledOrders += below(3);
             if (chance(50))
                 m_report.epochSeen += 1000;
