Keep candidacies apart while the store's queue is long

Change: the delay doubles with each rank up to 3.2 s and then grows by 0.1 s; the answer time of reads, which is short while only appends wait, is no longer used. Conclusion: six ranks fit into the longest queue.

--- a/src/dispatch/JournalFollower.cpp
+++ b/src/dispatch/JournalFollower.cpp
@@ -69,11 +69,9 @@
     const Instant sentAt = m_clock.now();
     const Duration wait = m_caughtUp ? m_settings.maxReadWait : Duration { 0 };
     m_journal.read(m_nextOffset, wait, wait + m_settings.timeout,
-        [this, sentAt, wait, generation = m_generation](const ReadResult& result) {
-            if (generation != m_generation)
-                return;
-            recordAnswerTime(result, m_clock.now() - sentAt, wait);
-            handleRecords(result, sentAt);
+        [this, sentAt, generation = m_generation](const ReadResult& result) {
+            if (generation == m_generation)
+                handleRecords(result, sentAt);
         });
 }
 
@@ -111,22 +109,6 @@
     schedule(m_settings.minReadInterval - elapsed, &JournalFollower::readNext);
 }
 
-void JournalFollower::recordAnswerTime(const ReadResult& result, Duration elapsed, Duration wait)
-{
-    // A read without records has waited all the time that it was allowed to.
-    const Duration answerTime = result.records.empty() ? elapsed - wait : elapsed;
-    if (result.status != ReadResult::Status::Ok || answerTime < Duration { 0 })
-        return;
-    m_answerTimes.push_back(answerTime);
-    if (m_answerTimes.size() > answerTimesKept)
-        m_answerTimes.pop_front();
-}
-
-Duration JournalFollower::answerTime() const
-{
-    return m_answerTimes.empty() ? Duration { 0 } : *std::ranges::min_element(m_answerTimes);
-}
-
 void JournalFollower::markFailed()
 {
     if (m_healthySince)
--- a/src/dispatch/JournalFollower.h
+++ b/src/dispatch/JournalFollower.h
@@ -2,8 +2,6 @@
 
 #include "dispatch/Journal.h"
 
-#include <deque>
-
 namespace hemlocklead::dispatch {
 
 /// Receives the records that a follower reads. Records are passed in the order of offsets after the first pages.
@@ -57,15 +55,11 @@
 
     uint64_t nextOffset() const { return m_nextOffset; }
 
-    /// The shortest of the last few times that the journal took to answer a read, without the wait for a record.
-    Duration answerTime() const;
-
 private:
     void readPage();
     void handlePage(NewestPage page);
     void readNext();
     void handleRecords(const ReadResult& result, Instant sentAt);
-    void recordAnswerTime(const ReadResult& result, Duration elapsed, Duration wait);
     void markFailed();
     void markHealthy();
     void schedule(Duration delay, void (JournalFollower::*step)());
@@ -82,10 +76,6 @@
     uint64_t m_nextOffset { 0 };
     Instant m_freshAsOf {};
     std::optional<Instant> m_healthySince;
-
-    /// Several, since a read that had to wait for a record tells little.
-    static constexpr size_t answerTimesKept = 4;
-    std::deque<Duration> m_answerTimes;
 };
 
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -132,8 +132,11 @@
         largestShare = std::max(largestShare, entry.processorShare);
         rank += precedes(name, entry, share);
     }
-    const Duration delay
-        = rank * std::clamp(2 * m_follower.answerTime(), m_settings.minDelayPerRank, m_settings.maxDelayPerRank);
+    Duration delay { 0 };
+    if (rank > 0) {
+        const int doubled = std::min(rank, m_settings.ranksWithDoubledDelay);
+        delay = m_settings.delayPerRank * ((1 << (doubled - 1)) + rank - doubled);
+    }
     return 2 * share < largestShare ? delay + m_settings.weakEntryDelay : delay;
 }
 
@@ -149,8 +152,7 @@
     LogEvent(LogLevel::Info, "ownership_candidacy")
         .field("former_epoch", candidacy.formerEpoch)
         .field("former_entry", m_registry.owner().entry)
-        .field("silent_ms", static_cast<int64_t>((sentAt - m_registry.ownerSeenAt()).count()))
-        .field("answer_ms", static_cast<int64_t>(m_follower.answerTime().count()));
+        .field("silent_ms", static_cast<int64_t>((sentAt - m_registry.ownerSeenAt()).count()));
     m_journal.append({ { std::string(candidateKey), candidateValue(candidacy), 0 } }, std::nullopt,
         m_settings.candidacyTimeout, [this, number, sentAt](AppendStatus status) {
             if (number != m_candidacyNumber || m_phase != Phase::Candidate)
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -20,13 +20,11 @@
         Duration heartbeatInterval { 700 };
         Duration ownerTimeout { 2200 }; ///< Tolerates three late heartbeats.
 
-        /// Delay of a candidacy per entry that precedes this one. Others see a candidacy after about 130 ms; of two
-        /// that cross, the first counts.
-        Duration minDelayPerRank { 100 };
-
-        /// The delay per rank is twice the store's answer time, up to this. On an idle journal the answer time contains
-        /// the wait for a record, and the last of ten entries is not to wait for many seconds.
-        Duration maxDelayPerRank { 300 };
+        /// Delay of a candidacy of the entry that one other precedes. It doubles with each further rank up to
+        /// `ranksWithDoubledDelay` and then grows by this. Others see a candidacy after about 130 ms, but after up to 2
+        /// s while the store's queue is long, and each candidacy makes the queue longer.
+        Duration delayPerRank { 100 };
+        int ranksWithDoubledDelay { 6 };
 
         /// Delay of the candidacy of an entry with less than half the processor share of the strongest one: as long as
         /// any strong entry is left, it is to own the jobs.
--- a/tests/unit/OwnershipTest.cpp
+++ b/tests/unit/OwnershipTest.cpp
@@ -139,6 +139,12 @@
             return claims.size();
         }
 
+        size_t candidacies() const
+        {
+            return static_cast<size_t>(
+                std::ranges::count(m_store.records(), std::string(candidateKey), &JournalRecord::key));
+        }
+
         std::vector<std::unique_ptr<Entry>>& entries() { return m_entries; }
         QueuedStore& store() { return m_store; }
 
@@ -181,6 +187,18 @@
         EXPECT_EQ(site.claims(), claims);
     }
 
+    // Guards against candidacies that fill the store's queue: the delays of the ranks must keep them apart although
+    // none is seen before the queue, 2 s at most, has moved on. That is long enough for six ranks, once each 1.5 s.
+    TEST_P(OwnershipTest, store_queueFull_candidaciesAreFew)
+    {
+        Site site(GetParam());
+        site.store().appendTime = Duration { 300 };
+        site.run(Duration { 6000 });
+        site.store().appendTime = Duration { 1 };
+        site.run(Duration { 4000 });
+        EXPECT_LE(site.candidacies(), 6u * 6u);
+    }
+
     // Guards against hosts that wait longer than before for a new owner: the former rule replaced an owner that had
     // ended after 2.2 s without a record, a check every 100 ms, and 250 ms a rank.
     TEST_P(OwnershipTest, owner_killed_isReplacedByOneStrongEntryInTime)
