Add thin links to the fault soak

Cause: the soak had no link that carries too little, the fault that toppled the owner of the small twin. Change: the proxy limits each direction of a connection to 8 KB/s with libevent's rate limits; faults link_thin and owners_thin, for seeds from 3000 on, so that the faults of lower seeds stay as they were.

--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -19,6 +19,7 @@
 
     constexpr Duration delay { 300 };
     constexpr Duration forwardInterval { 10 };
+    constexpr size_t thinBytesPerSecond = 8000;
 
     sockaddr_in toSockaddr(const Address& address)
     {
@@ -34,6 +35,8 @@
 FaultProxy::FaultProxy(EventLoop& loop, const Address& target)
     : m_loop(loop)
     , m_target(target)
+    , m_thinRate(ev_token_bucket_cfg_new(
+          thinBytesPerSecond, thinBytesPerSecond, thinBytesPerSecond, thinBytesPerSecond, nullptr))
     , m_timer(loop)
 {
     m_timer.startRepeating(forwardInterval, [this] { forwardDelayed(); });
@@ -45,6 +48,7 @@
         closePair(*m_pairs.front(), false);
     if (m_listener)
         evconnlistener_free(m_listener);
+    ev_token_bucket_cfg_free(m_thinRate);
 }
 
 Result<void> FaultProxy::listen(const Address& address)
@@ -69,10 +73,17 @@
         bufferevent_setcb(side, &FaultProxy::readable, nullptr, &FaultProxy::closed, &pair);
         bufferevent_enable(side, EV_READ | EV_WRITE);
     }
+    proxy->limitRate(pair);
     const sockaddr_in native = toSockaddr(proxy->m_target);
     bufferevent_socket_connect(pair.target, reinterpret_cast<const sockaddr*>(&native), sizeof native);
 }
 
+void FaultProxy::limitRate(const ConnectionPair& pair)
+{
+    for (bufferevent* side : { pair.client, pair.target })
+        bufferevent_set_rate_limit(side, m_fault == Fault::Thin ? m_thinRate : nullptr);
+}
+
 void FaultProxy::readable(bufferevent* from, void* context)
 {
     auto& pair = *static_cast<ConnectionPair*>(context);
@@ -119,6 +130,7 @@
     m_fault = fault;
     std::vector<ConnectionPair*> closing;
     for (const auto& pair : m_pairs) {
+        limitRate(*pair);
         forward(*pair, pair->client);
         forward(*pair, pair->target);
         if (fault == Fault::None && pair->isClosePending)
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 struct bufferevent;
+struct ev_token_bucket_cfg;
 struct evconnlistener;
 struct sockaddr;
 
@@ -23,6 +24,7 @@
         BlockToTarget, ///< Bytes to the target are withheld; connections stay open.
         BlockToClient, ///< Bytes to the client are withheld; connections stay open.
         Blocked, ///< Bytes are withheld in both directions; connections stay open.
+        Thin, ///< Each direction of a connection carries at most 8 KB a second.
     };
 
     FaultProxy(EventLoop& loop, const Address& target);
@@ -53,11 +55,13 @@
     void forward(ConnectionPair& pair, bufferevent* from);
     void forwardDelayed();
     void closePair(ConnectionPair& pair, bool sendReset);
+    void limitRate(const ConnectionPair& pair);
 
     EventLoop& m_loop;
     BootClock m_clock;
     Address m_target;
     evconnlistener* m_listener { nullptr };
+    ev_token_bucket_cfg* m_thinRate;
     Timer m_timer;
     Fault m_fault { Fault::None };
     std::list<std::unique_ptr<ConnectionPair>> m_pairs;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -20,6 +20,8 @@
     constexpr int maxSubmitTries = 5;
     constexpr size_t maxActiveFaults = 3; ///< Active at the same time.
     constexpr int64_t workerCpuMilli = 8000;
+    constexpr uint64_t firstSeedWithThinLinks = 3000;
+    constexpr size_t thinLinkKinds = 2;
 
     std::string quoted(const Address& address) { return "\"" + address.text() + "\"\n"; }
 
@@ -50,6 +52,8 @@
         { "kill", &Soak::kill, &Soak::noAction, &Soak::programCount },
         { "terminate", &Soak::terminate, &Soak::noAction, &Soak::programCount },
         { "reload", &Soak::reload, &Soak::noAction, &Soak::programCount },
+        { "link_thin", &Soak::storeLinkThin, &Soak::storeLinkRecovers, &Soak::programCount },
+        { "owners_thin", &Soak::ownerLinkThin, &Soak::ownerLinkRecovers, &Soak::agentCount },
     };
     return faultKinds;
 }
@@ -119,7 +123,9 @@
 {
     if (m_active.size() >= maxActiveFaults)
         return;
-    const FaultKind& kind = faultKinds()[random(faultKinds().size())];
+    // Lower seeds keep the faults that they had before thin links were added at the end of the list.
+    const size_t kinds = faultKinds().size() - (m_settings.seed < firstSeedWithThinLinks ? thinLinkKinds : 0);
+    const FaultKind& kind = faultKinds()[random(kinds)];
     const size_t target = random((this->*kind.targetCount)());
     const Duration length { static_cast<int64_t>(300 + random(4000)) };
     m_faultHistory.push_back(std::to_string((m_clock.now() - m_startedAt).count()) + " ms " + kind.name + " "
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -115,6 +115,8 @@
     void ownerLinkOrdersBlocked(size_t agent) { ownerLink(agent).setFault(FaultProxy::Fault::BlockToTarget); }
     void ownerLinkReportsBlocked(size_t agent) { ownerLink(agent).setFault(FaultProxy::Fault::BlockToClient); }
     void ownerLinkBlocked(size_t agent) { ownerLink(agent).setFault(FaultProxy::Fault::Blocked); }
+    void storeLinkThin(size_t target) { m_programs[target].storeProxy->setFault(FaultProxy::Fault::Thin); }
+    void ownerLinkThin(size_t agent) { ownerLink(agent).setFault(FaultProxy::Fault::Thin); }
     void ownerLinkReset(size_t agent) { ownerLink(agent).reset(); }
     void ownerLinkRecovers(size_t agent) { ownerLink(agent).setFault(FaultProxy::Fault::None); }
     void workerUnresponsive(size_t worker) { m_workers[worker]->setFault(WorkerStandIn::Fault::Unresponsive); }
