Let a task move six times and wait no longer before each move

Change: six moves a task, each after the time of a move, as before. Conclusion: the bound stops a task that is moved for ever and no other one.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -51,9 +51,8 @@
         Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
                                        ///< long-running task. Most short tasks end within it.
         Duration moveTime { 1500 }; ///< Time that stopping a run and resuming it elsewhere takes. A best-effort run
-                                    ///< with checkpoints that has been paused for as long is moved, and again
-                                    ///< after twice as long each time.
-        uint32_t maxMoves { 3 }; ///< A task that has been moved as often waits for its host instead.
+                                    ///< with checkpoints that has been paused for as long is moved.
+        uint32_t maxMoves { 6 }; ///< A task that has been moved as often stays on its host until it resumes.
         Duration retention { 180'000 }; ///< How long ended jobs are kept.
         size_t maxCommitBytes { 1'000'000 }; ///< Soft limit; the store accepts 2 MiB in one append.
     };
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -329,7 +329,7 @@
     if (!step.checkpoints || run.stopping)
         return;
     TaskState& task = *job.find(run.task);
-    if (task.moves >= m_settings.maxMoves || now - *run.pausedSince < m_settings.moveTime * (1 << task.moves))
+    if (task.moves >= m_settings.maxMoves || now - *run.pausedSince < m_settings.moveTime)
         return;
     const StepState& state = job.occurrence(run.task.occurrence).steps[run.task.step];
     const PlacementContext context = placementContext();
--- a/src/transport/Traffic.cpp
+++ b/src/transport/Traffic.cpp
@@ -50,7 +50,8 @@
 void Traffic::publishFlows(Counters& counters, const Flows& flows, const std::string& direction)
 {
     for (const auto& [kind, flow] : flows) {
-        const std::string labels = "{direction=\"" + direction + "\",message=\"" + kind + "\"}";
+        std::string labels = "{direction=\"";
+        labels.append(direction).append("\",message=\"").append(kind).append("\"}");
         counters.set("traffic_bytes" + labels, flow.bytes);
         counters.set("traffic_messages" + labels, flow.count);
     }
@@ -64,8 +65,11 @@
             Flow& last = logged[kind];
             if (flow.count == last.count)
                 continue;
-            event.field(direction + '_' + kind,
-                std::to_string(flow.bytes - last.bytes) + '/' + std::to_string(flow.count - last.count));
+            std::string name = direction;
+            name.append("_").append(kind);
+            std::string value = std::to_string(flow.bytes - last.bytes);
+            value.append("/").append(std::to_string(flow.count - last.count));
+            event.field(name, value);
             last = flow;
         }
     };
