Test that a suspended candidate does not claim

Cause: operators elsewhere saw processes that acted, after a pause, on a permission that had run out meanwhile. Change: OwnershipTest.candidate_suspendedUntilAnotherOwns_doesNotClaim suspends a candidate until another entry owns the jobs.

--- a/tests/unit/OwnershipTest.cpp
+++ b/tests/unit/OwnershipTest.cpp
@@ -30,6 +30,8 @@
 
         void tick()
         {
+            if (m_suspended)
+                return;
             if (m_stopping && m_writer.isIdle())
                 release();
             else if (!m_stopping && !m_stopped)
@@ -43,6 +45,13 @@
             m_client.silent = true;
         }
 
+        /// Suspends the process: it neither checks the ownership nor reaches the store.
+        void setSuspended(bool suspended)
+        {
+            m_suspended = suspended;
+            m_client.silent = suspended;
+        }
+
         /// Releases the ownership, if it is the owner, once no append is in flight, and ends the process.
         void stop()
         {
@@ -78,6 +87,7 @@
         JournalWriter m_writer;
         Ownership m_ownership;
         double m_processorShare;
+        bool m_suspended { false };
         bool m_stopping { false };
         bool m_stopped { false };
     };
@@ -139,6 +149,16 @@
             return claims.size();
         }
 
+        /// Value of the newest record of the key.
+        std::optional<std::string> newest(const std::string& key) const
+        {
+            for (size_t i = m_store.records().size(); i-- > 0;) {
+                if (m_store.records()[i].key == key)
+                    return m_store.records()[i].value;
+            }
+            return std::nullopt;
+        }
+
         size_t candidacies() const
         {
             return static_cast<size_t>(
@@ -263,6 +283,29 @@
         EXPECT_EQ(site.claims(), claims);
     }
 
+    // Guards against a process that acts on a permission from before a pause: a candidate that is suspended before it
+    // claims must see, once it wakes, that another entry has become the owner.
+    TEST_P(OwnershipTest, candidate_suspendedUntilAnotherOwns_doesNotClaim)
+    {
+        Site site(GetParam());
+        site.owner()->kill();
+        const size_t candidacies = site.candidacies();
+        for (int i = 0; i < 100 && site.candidacies() == candidacies; ++i)
+            site.run(Duration { 50 });
+        ASSERT_GT(site.candidacies(), candidacies);
+        const std::string name = Json::parse(*site.newest(std::string(candidateKey)))["entry"];
+        Entry& candidate = **std::ranges::find(site.entries(), name, [](const auto& entry) { return entry->name(); });
+        const size_t claims = site.claims();
+        candidate.setSuspended(true);
+        ASSERT_FALSE(candidate.isOwner());
+        site.runUntilOwned(Duration { 10'000 });
+        ASSERT_TRUE(site.owner());
+        candidate.setSuspended(false);
+        site.run(Duration { 5000 });
+        EXPECT_FALSE(candidate.isOwner());
+        EXPECT_LE(site.claims(), claims + 1);
+    }
+
     // Guards against a claim of several entries at once when the owners of a rolling stop release in turn.
     TEST_P(OwnershipTest, entries_stoppedInTurn_claimsAreNoMoreThanReleases)
     {
