Keep the callbacks of a connection alive while one of them runs

Cause: a report that cannot be read makes the owner close its connection from within the callback that reads it. The connection owned that callback, and with it the host's name, which was used once more afterwards: one malformed report could end the owner's process. Change: FrameConnection holds its callbacks shared while it calls one, for both of them, as its comment promises. The fixed calendar clock of two tests stands in tests/support. Conclusion: no callback of a connection can lose what it has captured.

--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -66,7 +66,10 @@
         disableNagle(socket);
 }
 
-void FrameConnection::setCallbacks(Callbacks callbacks) { m_callbacks = std::move(callbacks); }
+void FrameConnection::setCallbacks(Callbacks callbacks)
+{
+    m_callbacks = std::make_shared<Callbacks>(std::move(callbacks));
+}
 
 void FrameConnection::send(const Message& message)
 {
@@ -138,8 +141,8 @@
         return false;
     }
     Traffic::instance().recordReceived(message, frameHeaderBytes + payload.size());
-    if (m_callbacks.onMessage)
-        m_callbacks.onMessage(std::move(message));
+    if (const std::shared_ptr<const Callbacks> callbacks = m_callbacks; callbacks->onMessage)
+        callbacks->onMessage(std::move(message));
     return true;
 }
 
@@ -149,9 +152,8 @@
         return;
     bufferevent_free(m_native);
     m_native = nullptr;
-    const std::function<void()> onClosed = m_callbacks.onClosed;
-    if (onClosed)
-        onClosed();
+    if (const std::shared_ptr<const Callbacks> callbacks = m_callbacks; callbacks->onClosed)
+        callbacks->onClosed();
 }
 
 void FrameConnection::onRead(bufferevent*, void* self) { static_cast<FrameConnection*>(self)->readFrames(); }
--- a/src/transport/FrameConnection.h
+++ b/src/transport/FrameConnection.h
@@ -53,7 +53,8 @@
 
     bufferevent* m_native { nullptr };
     Timer m_closeTimer;
-    Callbacks m_callbacks;
+    /// Shared, so that a callback that destroys the connection does not destroy what it has captured.
+    std::shared_ptr<const Callbacks> m_callbacks { std::make_shared<Callbacks>() };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/Dispatcher.h"
 #include "dispatch/JobRequestHandler.h"
 #include "dispatch/Ownership.h"
+#include "support/FixedWallClock.h"
 #include "support/ManualTimers.h"
 #include "support/MemoryJournal.h"
 
@@ -30,13 +31,6 @@
         int messages { 0 };
     };
 
-    class FixedWallClock final : public WallClock {
-    public:
-        int64_t unixMs() const override { return now; }
-
-        int64_t now { 1'000'000 };
-    };
-
     /// One entry: its copy of the journal, and the dispatcher and ownership that work on it.
     struct Entry {
         Entry(const std::string& name, MemoryJournal& journal, ManualTimers& timers, ManualClock& clock)
--- a/tests/unit/ThinLinkTest.cpp
+++ b/tests/unit/ThinLinkTest.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/Ownership.h"
 #include "protocol/Codec.h"
 #include "protocol/ReportPacking.h"
+#include "support/FixedWallClock.h"
 #include "support/QueuedStore.h"
 
 #include <gtest/gtest.h>
@@ -99,11 +100,6 @@
         std::function<void(WorkerState)> m_answer;
     };
 
-    class FixedWallClock final : public WallClock {
-    public:
-        int64_t unixMs() const override { return 0; }
-    };
-
     /// An entry that owns the jobs of 15 hosts over a link of 2 Mbit/s, and a second one that could claim.
     class ThinSite final : OrderSender {
     public:
