--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -364,23 +364,21 @@
 
 void HostAgent::report(bool full)
 {
-    m_isWaitingReportFull |= full;
-    if (!m_isReportWaiting && mustReportWait()) {
-        m_isReportWaiting = true;
-        const Duration left = m_settings.maxReportDelay - (m_clock.now() - m_reportedAt);
-        m_timers.after(left, [this] {
-            if (m_isReportWaiting)
-                sendReport();
-        });
+    m_isNextReportFull |= full;
+    if (!mustReportWait())
+        return sendReport();
+    if (std::exchange(m_isReportWaiting, true))
         return;
-    }
-    if (!m_isReportWaiting || !mustReportWait())
-        sendReport();
+    const Duration left = m_settings.maxReportDelay - (m_clock.now() - m_reportedAt);
+    m_timers.after(left, [this] {
+        if (m_isReportWaiting)
+            sendReport();
+    });
 }
 
 void HostAgent::sendReport()
 {
-    const bool full = std::exchange(m_isWaitingReportFull, false);
+    const bool full = std::exchange(m_isNextReportFull, false);
     m_isReportWaiting = false;
     m_reportedAt = m_clock.now();
     ++m_reportsSent;
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -150,10 +150,10 @@
     uint64_t m_settledOrders { 0 };
     uint64_t m_reportsSent { 0 }; ///< On the current connection.
     uint64_t m_reportsRead { 0 }; ///< Of these, those that the owner has read.
-    bool m_ownerCountsReports { false };
-    Instant m_reportedAt {};
+    bool m_ownerCountsReports { false }; ///< The owner says how many reports it has read; earlier builds do not.
+    Instant m_reportedAt {}; ///< When the last report was sent.
     bool m_isReportWaiting { false };
-    bool m_isWaitingReportFull { false };
+    bool m_isNextReportFull { false };
 
     uint64_t m_fence { 0 }; ///< 0 until the worker's clock is known.
     int64_t m_life { 0 };
--- a/src/dispatch/JobRegistry.cpp
+++ b/src/dispatch/JobRegistry.cpp
@@ -133,10 +133,7 @@
     }
     if (const auto packed = m_packedStates.find(id); packed != m_packedStates.end()) {
         if (const std::optional<PackedRecordHeader> header = packedRecordHeader(packed->second))
-            added.setPhase(header->phase);
-        added.publishCurrentPhase();
-        if (m_ownEpoch)
-            decodeState(added);
+            adoptPackedState(added, header->phase);
     }
     const bool cancelled = m_unmatchedCancels.erase(id) > 0;
     if (m_listener)
@@ -170,13 +167,16 @@
         return;
     m_unmatchedStates.erase(id);
     m_packedStates.insert_or_assign(id, *record.value);
-    Job* job = find(id);
-    if (!job)
-        return;
-    job->setPhase(header->phase);
-    job->publishCurrentPhase();
+    if (Job* job = find(id))
+        adoptPackedState(*job, header->phase);
+}
+
+void JobRegistry::adoptPackedState(Job& job, JobPhase phase)
+{
+    job.setPhase(phase);
+    job.publishCurrentPhase();
     if (m_ownEpoch)
-        decodeState(*job);
+        decodeState(job);
 }
 
 void JobRegistry::decodeState(Job& job)
@@ -234,10 +234,10 @@
     m_owner = std::move(owner);
 }
 
-void JobRegistry::applyCandidate(const std::string&, const JournalRecord& record, const Json& value)
+void JobRegistry::applyCandidate(const std::string&, const JournalRecord&, const Json& value)
 {
     Candidacy candidacy { value.at("former_epoch").get<uint64_t>(), value.at("entry").get<std::string>(),
-        value.at("incarnation").get<uint64_t>(), record.offset, m_clock.now() };
+        value.at("incarnation").get<uint64_t>(), m_clock.now() };
     if (candidacy.formerEpoch == m_owner.epoch)
         m_candidacies.push_back(std::move(candidacy));
 }
--- a/src/dispatch/JobRegistry.h
+++ b/src/dispatch/JobRegistry.h
@@ -31,7 +31,6 @@
     uint64_t formerEpoch { 0 }; ///< Of the owner that it wants to replace.
     std::string entry;
     uint64_t incarnation { 0 }; ///< Of the entry's process.
-    uint64_t offset { 0 }; ///< Of its record in the journal.
     Instant seenAt {}; ///< When this process read the record.
 };
 
@@ -111,6 +110,7 @@
     void applyRemoval(const std::string& key);
     void cancel(Job& job);
     void applyPackedState(const std::string& id, const JournalRecord& record);
+    void adoptPackedState(Job& job, JobPhase phase);
     void decodeState(Job& job);
     void skip(const JournalRecord& record, std::string_view reason);
 
@@ -120,9 +120,10 @@
     std::optional<uint64_t> m_ownEpoch;
     std::map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, Json> m_unmatchedStates; ///< Progress of jobs whose job record has not been read yet.
-    std::map<std::string, std::string>
-        m_packedStates; ///< Newest progress of jobs that has not been decoded, by job id.
     std::set<std::string> m_unmatchedCancels; ///< Cancellations of such jobs.
+
+    /// Newest packed progress that has not been decoded, by job id.
+    std::map<std::string, std::string> m_packedStates;
     OwnerRecord m_owner;
     Instant m_ownerSeenAt {};
     std::vector<Candidacy> m_candidacies; ///< For the current owner's epoch, in the order of the journal.
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -148,7 +148,7 @@
     m_counters.add("ownership_candidacies");
     const uint64_t number = ++m_candidacyNumber;
     const Instant sentAt = m_clock.now();
-    const Candidacy candidacy { m_registry.owner().epoch, m_settings.entry, m_settings.incarnation, 0, {} };
+    const Candidacy candidacy { m_registry.owner().epoch, m_settings.entry, m_settings.incarnation, {} };
     LogEvent(LogLevel::Info, "ownership_candidacy")
         .field("former_epoch", candidacy.formerEpoch)
         .field("former_entry", m_registry.owner().entry)
--- a/src/transport/Traffic.cpp
+++ b/src/transport/Traffic.cpp
@@ -29,19 +29,19 @@
 
 void Traffic::recordSent(const Message& message, size_t bytes)
 {
-    m_sent[std::string(messageName(message))].add(bytes);
+    m_sent[messageName(message)].add(bytes);
     (isCall(message) ? m_callsSent : m_controlSent) += static_cast<int64_t>(bytes);
     ++m_framesSent;
 }
 
 void Traffic::recordReceived(const Message& message, size_t bytes)
 {
-    m_received[std::string(messageName(message))].add(bytes);
+    m_received[messageName(message)].add(bytes);
     (isCall(message) ? m_callsReceived : m_controlReceived) += static_cast<int64_t>(bytes);
     ++m_framesReceived;
 }
 
-void Traffic::recordExchange(const std::string& kind, size_t sent, size_t received)
+void Traffic::recordExchange(std::string_view kind, size_t sent, size_t received)
 {
     m_sent[kind].add(sent);
     m_received[kind].add(received);
--- a/src/transport/Traffic.h
+++ b/src/transport/Traffic.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace hemlocklead {
 
@@ -20,8 +21,8 @@
     void recordSent(const Message& message, size_t bytes);
     void recordReceived(const Message& message, size_t bytes);
 
-    /// Counts an HTTP exchange of the given kind. `sent` and `received` are the bytes of the bodies.
-    void recordExchange(const std::string& kind, size_t sent, size_t received);
+    /// Counts an HTTP exchange. `kind` must be a string literal; `sent` and `received` are the bytes of the bodies.
+    void recordExchange(std::string_view kind, size_t sent, size_t received);
 
     /// Counts a frame with a message type that this version does not know.
     void recordUnknown() { ++m_framesUnknown; }
@@ -40,7 +41,7 @@
 
         void add(size_t size);
     };
-    using Flows = std::map<std::string, Flow, std::less<>>;
+    using Flows = std::map<std::string_view, Flow>; ///< By kind: a message name or a string literal.
 
     static void publishFlows(Counters& counters, const Flows& flows, const std::string& direction);
 
@@ -51,7 +52,7 @@
     int64_t m_framesSent { 0 };
     int64_t m_framesReceived { 0 };
     int64_t m_framesUnknown { 0 };
-    Flows m_sent; ///< By kind of message or call.
+    Flows m_sent;
     Flows m_received;
     Flows m_loggedSent; ///< `m_sent` at the last log line.
     Flows m_loggedReceived;
--- a/tests/support/MemoryJournal.h
+++ b/tests/support/MemoryJournal.h
@@ -72,6 +72,7 @@
     }
 
     size_t size() const { return m_records.size(); }
+    const std::vector<dispatch::JournalRecord>& records() const { return m_records; }
 
     Mode mode { Mode::Normal };
     size_t pageSize { 500 };
--- a/tests/support/QueuedStore.h
+++ b/tests/support/QueuedStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/ManualTimers.h"
+#include "support/MemoryJournal.h"
 
 #include <algorithm>
 #include <memory>
@@ -9,7 +10,7 @@
 
 namespace hemlocklead {
 
-/// Keyed journal in memory that takes time: it answers calls with a delay, appends one at a time, and refuses appends
+/// A MemoryJournal that takes time: it answers calls with a delay, appends one at a time, and refuses appends
 /// when too many wait. Each entry has its own client, whose calls can be refused or lost.
 class QueuedStore {
 public:
@@ -37,11 +38,11 @@
             m_store.enqueue(std::move(records), fence, refused, answer);
         }
 
-        void newest(const std::string&, Duration timeout, std::function<void(dispatch::NewestPage)> done) override
+        void newest(const std::string& after, Duration timeout, std::function<void(dispatch::NewestPage)> done) override
         {
             const auto answer = m_store.answerWithin(timeout, dispatch::NewestPage {}, std::move(done));
             if (!silent)
-                m_store.reply(answer, refused ? dispatch::NewestPage {} : m_store.newestPage());
+                m_store.reply(answer, refused ? dispatch::NewestPage {} : m_store.newestPage(after));
         }
 
         void read(
@@ -68,7 +69,7 @@
     Duration appendTime { 1 };
     static constexpr Duration maxQueueTime { 2000 };
 
-    const std::vector<dispatch::JournalRecord>& records() const { return m_records; }
+    const MemoryJournal& journal() const { return m_journal; }
 
 private:
     template <typename T> using Answer = std::shared_ptr<std::function<void(T)>>;
@@ -107,60 +108,42 @@
     dispatch::AppendStatus record(
         std::vector<dispatch::JournalRecord> records, const std::optional<dispatch::AppendFence>& fence)
     {
-        using dispatch::AppendStatus;
-        if (fence) {
-            if (fence->epoch < m_epoch)
-                return AppendStatus::Fenced;
-            if (fence->epoch == m_epoch && fence->sequence == m_sequence)
-                return AppendStatus::Done;
-            if (fence->epoch == m_epoch && fence->sequence != m_sequence + 1)
-                return AppendStatus::Rejected;
-            m_epoch = fence->epoch;
-            m_sequence = fence->sequence;
-        }
-        for (dispatch::JournalRecord& record : records) {
-            record.offset = m_records.size();
-            m_records.push_back(std::move(record));
-        }
+        auto status = dispatch::AppendStatus::Unknown;
+        m_journal.append(
+            std::move(records), fence, Duration { 0 }, [&](dispatch::AppendStatus result) { status = result; });
         for (const std::function<void()>& wake : std::exchange(m_waiting, {}))
             wake();
-        return AppendStatus::Done;
+        return status;
     }
 
-    dispatch::NewestPage newestPage() const
+    dispatch::NewestPage newestPage(const std::string& after)
     {
-        std::map<std::string, dispatch::JournalRecord> byKey;
-        for (const dispatch::JournalRecord& record : m_records)
-            byKey[record.key] = record;
-        dispatch::NewestPage page { true, {}, false, m_records.size() };
-        for (const auto& [key, record] : byKey)
-            page.records.push_back(record);
+        dispatch::NewestPage page;
+        m_journal.newest(after, Duration { 0 }, [&](dispatch::NewestPage result) { page = std::move(result); });
         return page;
     }
 
     void waitForRecords(uint64_t from, Duration wait, const Answer<dispatch::ReadResult>& answer)
     {
-        if (from < m_records.size() || wait <= Duration { 0 })
+        if (from < m_journal.size() || wait <= Duration { 0 })
             return reply(answer, readFrom(from));
         m_waiting.emplace_back([this, from, answer] { reply(answer, readFrom(from)); });
         m_timers.after(wait, [this, from, answer] { reply(answer, readFrom(from)); });
     }
 
-    dispatch::ReadResult readFrom(uint64_t from) const
+    dispatch::ReadResult readFrom(uint64_t from)
     {
-        dispatch::ReadResult result { dispatch::ReadResult::Status::Ok, {}, m_records.size() };
-        for (uint64_t offset = from; offset < m_records.size(); ++offset)
-            result.records.push_back(m_records[offset]);
+        dispatch::ReadResult result;
+        m_journal.read(
+            from, Duration { 0 }, Duration { 0 }, [&](dispatch::ReadResult records) { result = std::move(records); });
         return result;
     }
 
     ManualTimers& m_timers;
     const Clock& m_clock;
-    std::vector<dispatch::JournalRecord> m_records;
+    MemoryJournal m_journal;
     std::vector<std::function<void()>> m_waiting; ///< Calls of reads that wait for the next record.
     Instant m_busyUntil {};
-    uint64_t m_epoch { 0 };
-    uint64_t m_sequence { 0 };
 };
 
 } // namespace hemlocklead
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -145,6 +145,25 @@
             append(jobKey(id), jobValue(policy, spec));
         }
 
+        /// Makes `entry` the owner and places the task job.0.0.0, a best-effort one, on host-1.
+        void placeBestEffortTask(Entry& entry, bool checkpoints)
+        {
+            becomeOwner(entry);
+            connect(entry, "host-1");
+            submit("job", { bestEffortStep(checkpoints) });
+            run(entry, Duration { 150 });
+            ASSERT_EQ(entry.sender.starts.size(), 1u);
+        }
+
+        /// Report of host-1 with that task half done and paused.
+        static HostReport pausedReport(const std::string& checkpoint)
+        {
+            HostReport report = reportOf("host-1");
+            report.settledOrders = 1;
+            report.running = { { "job.0.0.0", 1, checkpoint, 50, 0 } };
+            return report;
+        }
+
         static RunEnd endOf(uint64_t number, const RunOrder& order, const std::string& reason)
         {
             return { number, order.task, order.attempt, reason, "" };
@@ -427,14 +446,8 @@
     TEST_F(DispatcherTest, bestEffortRun_staysPaused_isMovedWithItsCheckpoint)
     {
         Entry entry("entry-1", m_journal, m_timers, m_clock);
-        becomeOwner(entry);
-        connect(entry, "host-1");
-        submit("job", { bestEffortStep(true) });
-        run(entry, Duration { 150 });
-        ASSERT_EQ(entry.sender.starts.size(), 1u);
-        HostReport report = reportOf("host-1");
-        report.settledOrders = 1;
-        report.running = { { "job.0.0.0", 1, "saved", 50, 0 } };
+        ASSERT_NO_FATAL_FAILURE(placeBestEffortTask(entry, true));
+        HostReport report = pausedReport("saved");
         for (int i = 0; i < 9; ++i) {
             entry.dispatcher.hostReported("host-1", report);
             run(entry, Duration { 150 });
@@ -461,13 +474,8 @@
     TEST_F(DispatcherTest, bestEffortRun_onlyHostLeftRefusesBestEffort_isNeitherMovedNorPlacedThere)
     {
         Entry entry("entry-1", m_journal, m_timers, m_clock);
-        becomeOwner(entry);
-        connect(entry, "host-1");
-        submit("job", { bestEffortStep(true) });
-        run(entry, Duration { 150 });
-        HostReport paused = reportOf("host-1");
-        paused.settledOrders = 1;
-        paused.running = { { "job.0.0.0", 1, "saved", 50, 0 } };
+        ASSERT_NO_FATAL_FAILURE(placeBestEffortTask(entry, true));
+        const HostReport paused = pausedReport("saved");
         HostReport refusing = reportOf("host-2");
         refusing.refusesBestEffort = true;
         entry.dispatcher.hostConnected("host-2");
@@ -490,10 +498,7 @@
     TEST_F(DispatcherTest, bestEffortRun_pausedOnEachHost_isMovedABoundedNumberOfTimes)
     {
         Entry entry("entry-1", m_journal, m_timers, m_clock);
-        becomeOwner(entry);
-        connect(entry, "host-1");
-        submit("job", { bestEffortStep(true) });
-        run(entry, Duration { 150 });
+        ASSERT_NO_FATAL_FAILURE(placeBestEffortTask(entry, true));
         connect(entry, "host-2");
         std::map<std::string, uint64_t> ends;
         for (int i = 0; i < 400; ++i) {
@@ -518,13 +523,8 @@
     TEST_F(DispatcherTest, bestEffortRunWithoutCheckpoints_staysPaused_isNotStopped)
     {
         Entry entry("entry-1", m_journal, m_timers, m_clock);
-        becomeOwner(entry);
-        connect(entry, "host-1");
-        submit("job", { bestEffortStep(false) });
-        run(entry, Duration { 150 });
-        HostReport report = reportOf("host-1");
-        report.settledOrders = 1;
-        report.running = { { "job.0.0.0", 1, "", 50, 0 } };
+        ASSERT_NO_FATAL_FAILURE(placeBestEffortTask(entry, false));
+        HostReport report = pausedReport("");
         for (int i = 0; i < 20; ++i) {
             connect(entry, "host-2");
             entry.dispatcher.hostReported("host-1", report);
--- a/tests/unit/OwnershipTest.cpp
+++ b/tests/unit/OwnershipTest.cpp
@@ -18,14 +18,12 @@
             , m_follower(m_client, timers, clock, m_registry, { .minReadInterval = Duration { 120 } })
             , m_writer(m_client, timers, clock, {})
             , m_ownership(m_registry, m_follower, m_client, m_writer, clock, m_counters,
-                  { .entry = m_name, .incarnation = std::hash<std::string>()(m_name) & 0xffffffff },
+                  { .entry = m_name, .incarnation = incarnation() },
                   { [](uint64_t, bool) {}, [this] { m_follower.restart(); } })
-            , m_processorShare(processorShare)
         {
             m_follower.start();
-            m_client.append({ { entryKey(m_name),
-                                entryValue({ std::hash<std::string>()(m_name) & 0xffffffff, processorShare }), 0 } },
-                std::nullopt, Duration { 1000 }, [](AppendStatus) {});
+            m_client.append({ { entryKey(m_name), entryValue({ incarnation(), processorShare }), 0 } }, std::nullopt,
+                Duration { 1000 }, [](AppendStatus) {});
         }
 
         void tick()
@@ -70,9 +68,11 @@
         bool isRunning() const { return !m_stopped; }
         QueuedStore::Client& client() { return m_client; }
         const std::string& name() const { return m_name; }
-        double processorShare() const { return m_processorShare; }
 
     private:
+        /// Exact as a JSON number.
+        uint64_t incarnation() const { return std::hash<std::string>()(m_name) & 0xffffffff; }
+
         void release()
         {
             m_stopping = false;
@@ -86,7 +86,6 @@
         JournalFollower m_follower;
         JournalWriter m_writer;
         Ownership m_ownership;
-        double m_processorShare;
         bool m_suspended { false };
         bool m_stopping { false };
         bool m_stopped { false };
@@ -142,27 +141,17 @@
         size_t claims() const
         {
             std::set<std::string> claims;
-            for (const JournalRecord& record : m_store.records()) {
+            for (const JournalRecord& record : m_store.journal().records()) {
                 if (record.key == ownerKey)
                     claims.insert(Json::parse(*record.value)["epoch"].dump());
             }
             return claims.size();
         }
 
-        /// Value of the newest record of the key.
-        std::optional<std::string> newest(const std::string& key) const
-        {
-            for (size_t i = m_store.records().size(); i-- > 0;) {
-                if (m_store.records()[i].key == key)
-                    return m_store.records()[i].value;
-            }
-            return std::nullopt;
-        }
-
         size_t candidacies() const
         {
             return static_cast<size_t>(
-                std::ranges::count(m_store.records(), std::string(candidateKey), &JournalRecord::key));
+                std::ranges::count(m_store.journal().records(), std::string(candidateKey), &JournalRecord::key));
         }
 
         std::vector<std::unique_ptr<Entry>>& entries() { return m_entries; }
@@ -293,7 +282,7 @@
         for (int i = 0; i < 100 && site.candidacies() == candidacies; ++i)
             site.run(Duration { 50 });
         ASSERT_GT(site.candidacies(), candidacies);
-        const std::string name = Json::parse(*site.newest(std::string(candidateKey)))["entry"];
+        const std::string name = Json::parse(site.store().journal().value(std::string(candidateKey)))["entry"];
         Entry& candidate = **std::ranges::find(site.entries(), name, [](const auto& entry) { return entry->name(); });
         const size_t claims = site.claims();
         candidate.setSuspended(true);
