--- a/review/tools/CaseMain.cpp
+++ b/review/tools/CaseMain.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <set>
 
 namespace hemlocklead::review {
 namespace {
@@ -101,49 +102,6 @@
         return verdict(log, log.runTwice());
     }
 
-    /// Jobs are cancelled at another entry right after their acceptance, 2 s later without the disruption.
-    int promptCancel(RunLog& log, bool trouble)
-    {
-        constexpr Duration cancelBound { 3000 };
-        constexpr Duration stopGrace { 900 };
-        Site site(log, {});
-        if (!site.start())
-            return couldNotRun;
-        struct Cancelled {
-            std::string job;
-            Instant at;
-            int status;
-        };
-        std::vector<Cancelled> cancelled;
-        for (size_t i = 0; i < 15; ++i) {
-            const std::string job = site.newJobId();
-            const std::string body = jobBody("ms=0", 2, 1000, 1000, true);
-            if (site.call(i % 3, "POST", job, body).status != 200)
-                continue;
-            if (!trouble)
-                site.wait(Duration { 2000 });
-            const int status = site.call((i + 1) % 3, "DELETE", job).status;
-            if (status == 200 || status == 410)
-                cancelled.push_back({ job, log.now(), status });
-            site.wait(Duration { 137 });
-        }
-        if (cancelled.empty())
-            return couldNotRun;
-        site.wait(Duration { 10'000 });
-        std::vector<std::string> violations;
-        for (const Cancelled& entry : cancelled) {
-            for (const RunLog::Run& run : log.runs()) {
-                const Instant bound = entry.at + cancelBound + stopGrace;
-                if (run.task.starts_with(entry.job) && (!run.endedAt || *run.endedAt > bound))
-                    violations.push_back("the cancelling of " + entry.job + " was answered with "
-                        + std::to_string(entry.status) + " at " + log.time(entry.at) + "; " + run.task + " run "
-                        + std::to_string(run.attempt) + " works on "
-                        + (run.endedAt ? "until " + log.time(*run.endedAt) : std::string("to the end")));
-            }
-        }
-        return verdict(log, violations);
-    }
-
     /// An agent's process is stopped for 2.2 s, several times, while jobs arrive.
     int frozenAgent(RunLog& log, bool trouble)
     {
@@ -178,11 +136,71 @@
         return verdict(log, log.runTwice());
     }
 
+    /// The first steps of many jobs end while the store is down for 4.5 s, so that all tasks of the second steps are
+    /// ordered at once.
+    int largeOrders(RunLog& log, bool trouble)
+    {
+        constexpr size_t jobs = 45;
+        constexpr uint32_t width = 30; ///< Of the second step.
+        constexpr size_t specBytes = 3900; ///< The pages allow 4,000.
+        constexpr Duration finish { 14'000 };
+        Site site(log, {});
+        if (!site.start())
+            return couldNotRun;
+        const std::string spec = "ms=3000 spread=500 cpu=20 text=" + std::string(specBytes, 'x');
+        const Json first = { { "count", 1 }, { "cpu", 20 }, { "memMb", 20 }, { "estimateMs", 3000 } };
+        Json second = first;
+        second["count"] = width;
+        second["after"] = { 0 };
+        const std::string body = jsonText({ { "spec", spec }, { "steps", { first, second } } });
+        std::vector<std::string> accepted;
+        for (size_t i = 0; i < jobs; ++i) {
+            const std::string job = site.newJobId();
+            site.send(i % 3, "POST", job, body, [&accepted, job](const HttpResponse& response) {
+                if (response.status == 200)
+                    accepted.push_back(job);
+            });
+            site.wait(Duration { 30 });
+        }
+        site.wait(Duration { 600 });
+        if (accepted.size() < jobs || log.runs().size() < jobs)
+            return couldNotRun;
+        if (trouble) {
+            log.line("store down");
+            site.store().setFault(soak::StoreStandIn::Fault::Unresponsive);
+        }
+        site.wait(Duration { 4500 });
+        site.store().setFault(soak::StoreStandIn::Fault::None);
+        log.line("store up");
+        site.wait(finish);
+        // From here on, a job must not be without a run for 3 s while tasks of it wait and servers have room.
+        const Instant checkedFrom = log.now();
+        site.wait(Duration { 3000 });
+        std::vector<std::string> violations;
+        for (const std::string& job : accepted) {
+            std::set<std::string> done;
+            bool isRunning = false;
+            for (const RunLog::Run& run : log.runs()) {
+                if (!run.task.starts_with(job))
+                    continue;
+                if (run.endedAt && run.how == "done")
+                    done.insert(run.task);
+                isRunning |= !run.endedAt || *run.endedAt >= checkedFrom;
+            }
+            if (done.size() == 1 + width || isRunning)
+                continue;
+            const HttpResponse state = site.call(0, "GET", job);
+            violations.push_back("job " + job + " has had no run for 3 s, " + std::to_string(done.size()) + " of "
+                + std::to_string(1 + width) + " tasks are done; its state is shown as " + state.body);
+        }
+        return verdict(log, violations);
+    }
+
     constexpr Case cases[] = {
+        { "large-orders", &largeOrders },
         { "frozen-agent", &frozenAgent },
         { "late-hold", &lateHold },
         { "many-ends", &manyEnds },
-        { "prompt-cancel", &promptCancel },
     };
 
 } // namespace
