Expire the leases of a worker that was lost before its agent restarted

Cause: two processes each left the conclusion to the other. The agent reports that all leases have expired only if it knows the worker's incarnation, which a new process never learns from a worker that is gone. The owner expires leases by itself only on hosts whose agent does not report, and this one reports "silent". The owner also moved its bound on the leases with each message, although a lease counts from the reading of the worker's clock that the message echoes, and the reading stood still.

Change: the agent keeps the end of all leases that it or an earlier process can have granted on its own clock, from its start. The owner counts its bound from the arrival of the newest reading, and applies it to hosts whose worker is silent as well.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -170,7 +170,10 @@
 {
     const Instant now = m_clock.now();
     for (auto& [name, host] : m_hosts.hosts()) {
-        if (!host.reported && !host.runs.empty() && now > host.leaseEnd)
+        // An agent that cannot reach its worker does not know which runs exist. One that has restarted since the worker
+        // was lost does not know of any lease either.
+        const bool isUnseen = !host.reported || host.last.silent;
+        if (isUnseen && !host.runs.empty() && now > host.leaseEnd)
             markRunsLost(host, "lease_ended");
     }
 }
@@ -301,7 +304,6 @@
         orders.acknowledgedEnds = host.endsDurable;
         host.outbox.acknowledgedEnds = host.endsDurable;
         host.orderedAt = now;
-        host.leaseEnd = now + m_settings.lease + m_settings.leaseMargin;
         m_sender.send(name, std::move(orders));
     }
 }
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -36,6 +36,7 @@
     if (!host.reported && !report.full && !report.silent)
         return;
     const bool stateChanged = report.silent != host.last.silent || report.draining != host.last.draining;
+    updateLeaseEnd(host, report);
     if (report.life != 0 && report.life != host.last.life)
         workerLifeChanged(host, report);
     host.last = report;
@@ -66,6 +67,17 @@
     }
 }
 
+void Dispatcher::updateLeaseEnd(HostState& host, const HostReport& report)
+{
+    const bool isFirstReport = host.clockReadAt == Instant {};
+    if (!isFirstReport && report.life == host.last.life && report.clockMs == host.last.clockMs)
+        return;
+    // The agent obeys only this owner by now. It extends leases only from readings of the worker's clock that this
+    // owner echoes, and neither it nor an earlier process of the agent can have used a later reading than this one.
+    host.clockReadAt = m_clock.now();
+    host.leaseEnd = host.clockReadAt + m_settings.lease + m_settings.leaseMargin;
+}
+
 void Dispatcher::learnInterference(HostState& host, const HostReport& report)
 {
     const Instant now = m_clock.now();
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -28,7 +28,12 @@
 {
 }
 
-void HostAgent::start() { poll(); }
+void HostAgent::start()
+{
+    // An earlier process of the agent may have granted leases until now, from a reading of the worker's clock.
+    m_leaseEnd = leaseEndAfter(m_settings.lease);
+    poll();
+}
 
 int64_t HostAgent::workerClockMs() const { return m_clockMs + (m_clock.now() - m_clockReadAt).count(); }
 
@@ -130,7 +135,7 @@
     if (m_pendingStarts.contains(key))
         return;
     m_pendingStarts.emplace(key, PendingStart { order, m_connection, std::nullopt });
-    m_sentLeaseUntilMs = std::max(m_sentLeaseUntilMs, m_leaseUntilMs);
+    noteLeaseGranted();
     m_worker.start(order, m_leaseUntilMs, m_fence, [this, key, life = m_life](const WorkerAnswer& answer) {
         if (life == m_life)
             handleStartAnswer(key, answer);
@@ -229,7 +234,7 @@
     WorkerPoll poll;
     if (m_fence != 0 && m_leaseUntilMs > workerClockMs()) {
         poll.leaseUntilMs = m_leaseUntilMs;
-        m_sentLeaseUntilMs = std::max(m_sentLeaseUntilMs, m_leaseUntilMs);
+        noteLeaseGranted();
     }
     poll.acknowledgedEnds = m_acknowledgedEnds;
     // The worker answers a poll at once while it has unacknowledged ends.
@@ -327,7 +332,6 @@
     LogEvent(LogLevel::Info, "worker_life").field("life", life).field("former", m_life);
     m_life = life;
     m_leaseUntilMs = 0;
-    m_sentLeaseUntilMs = 0;
     m_acknowledgedEnds = 0;
     m_running.clear();
     m_hasReadRuns = false;
@@ -349,11 +353,15 @@
     schedulePoll(m_settings.retry);
 }
 
-bool HostAgent::haveLeasesExpired() const
+Instant HostAgent::leaseEndAfter(Duration workerTime) const
+{
+    const double time = static_cast<double>(workerTime.count()) * m_settings.clockDriftFactor;
+    return m_clock.now() + Duration { static_cast<int64_t>(time) } + m_settings.leaseExpiryMargin;
+}
+
+void HostAgent::noteLeaseGranted()
 {
-    const double left = static_cast<double>(m_sentLeaseUntilMs - m_clockMs) * m_settings.clockDriftFactor;
-    const Duration elapsed = m_clock.now() - m_clockReadAt;
-    return static_cast<double>((elapsed - m_settings.leaseExpiryMargin).count()) > left;
+    m_leaseEnd = std::max(m_leaseEnd, leaseEndAfter(Duration { m_leaseUntilMs - workerClockMs() }));
 }
 
 bool HostAgent::mustReportWait() const
@@ -386,7 +394,7 @@
     message.host = m_settings.host;
     message.epochSeen = m_epochSeen;
     message.silent = m_unansweredPolls >= m_settings.pollsUntilSilent;
-    message.lapsed = message.silent && m_life != 0 && haveLeasesExpired();
+    message.lapsed = message.silent && m_clock.now() > m_leaseEnd;
     message.life = m_life;
     message.clockMs = m_clockMs;
     message.service = m_announcement.service;
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -123,7 +123,8 @@
     void applyState(WorkerState& state, const SentPoll& sent);
     void beginIncarnation(int64_t life);
     void handleUnansweredPoll();
-    bool haveLeasesExpired() const;
+    Instant leaseEndAfter(Duration workerTime) const;
+    void noteLeaseGranted();
     int64_t workerClockMs() const;
 
     void startRun(const RunOrder& order, Duration orderAge);
@@ -160,7 +161,7 @@
     int64_t m_clockMs { 0 };
     Instant m_clockReadAt {};
     int64_t m_leaseUntilMs { 0 }; ///< End of the lease granted by the owner, on the worker's clock.
-    int64_t m_sentLeaseUntilMs { 0 }; ///< Latest lease end that was sent to the worker.
+    Instant m_leaseEnd {}; ///< All leases that this process or an earlier one of the agent has granted end before this.
     uint64_t m_acknowledgedEnds { 0 };
     int m_unansweredPolls { 0 };
     bool m_isPolling { false };
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -57,6 +57,7 @@
     bool connected { false };
     bool reported { false }; ///< A report has arrived on the current connection.
     Instant reportedAt {};
+    Instant clockReadAt {}; ///< When the newest reading of the worker's clock arrived; leases count from a reading.
     Instant leaseEnd {}; ///< All leases on the host's worker have expired after this.
     HostReport last; ///< The last report, without its lists.
     Resources reserved;
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -286,6 +286,37 @@
         EXPECT_EQ(entry.sender.starts[1].second.attempt, 2u);
     }
 
+    // Guards against runs that stay assigned for good to a worker that was lost before its agent restarted: the agent
+    // is connected but never learns the worker's incarnation (review, case 1: lasting tasks never ran again). The
+    // leases count from the last reading of the worker's clock, however often the owner has repeated it.
+    TEST_F(DispatcherTest, worker_lostBeforeItsAgentRestarted_taskRestartsAfterLeaseEnd)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { longRunningStep(1000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        entry.dispatcher.hostDisconnected("host-1");
+        entry.dispatcher.hostConnected("host-1");
+        connect(entry, "host-2");
+        const auto runSilent = [&](Duration time) {
+            for (Duration passed { 0 }; passed < time; passed += Duration { 100 }) {
+                run(entry, Duration { 100 });
+                HostReport silent;
+                silent.host = "host-1";
+                silent.silent = true;
+                entry.dispatcher.hostReported("host-1", silent);
+                entry.dispatcher.hostReported("host-2", reportOf("host-2"));
+            }
+        };
+        runSilent(Duration { 4900 });
+        EXPECT_EQ(entry.sender.starts.size(), 1u);
+        runSilent(Duration { 1000 });
+        ASSERT_EQ(entry.sender.starts.size(), 2u);
+        EXPECT_EQ(entry.sender.starts[1].first, "host-2");
+    }
+
     // Guards against runs of a cancelled job, including runs that were recorded but not ordered yet.
     TEST_F(DispatcherTest, job_cancelled_isStoppedAndNothingStarts)
     {
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace hemlocklead::dispatch {
 namespace {
@@ -359,5 +360,28 @@
         EXPECT_TRUE(lastReport().lapsed);
     }
 
+    // Guards against runs that stay assigned for good to a worker that was lost before its agent restarted: the new
+    // process never learns the worker's incarnation (review, case 1: lasting tasks never ran again).
+    TEST_F(HostAgentTest, worker_silentSinceAgentStarted_isReportedLapsedOnceFormerLeasesHaveEnded)
+    {
+        DeferredWorker worker;
+        RecordedReports sender;
+        HostAgent agent(worker, sender, m_timers, m_clock, m_counters, { .host = "host-1" });
+        agent.start();
+        agent.handleOwnerConnected();
+        const auto stayUnanswered = [&](Duration time) {
+            for (const Instant end = m_clock.now() + time; m_clock.now() < end; m_timers.run(Duration { 50 })) {
+                for (const auto& poll : std::exchange(worker.polls, {}))
+                    poll.done({});
+            }
+        };
+        // The former process may have extended the lease until just before this one started.
+        stayUnanswered(Duration { 5000 });
+        EXPECT_TRUE(sender.reports.back().silent);
+        EXPECT_FALSE(sender.reports.back().lapsed);
+        stayUnanswered(Duration { 1000 });
+        EXPECT_TRUE(sender.reports.back().lapsed);
+    }
+
 } // namespace
 } // namespace hemlocklead::dispatch
