Refuse orders on a connection that the owner has replaced

Cause: the owner replaces a connection without reports for 2.0 s and takes the first full report on the new one as proof of what exists. The agent took orders from any connection with the current epoch, and an order is good for 2.5 s. When it woke, both connections were readable: it reported on the new one after the first part of the former one, and then read on.

Change: the owner numbers its connections to a host, and each of its messages carries the number. The agent refuses the orders of a connection that is older than the newest it has seen under that epoch, and closes it. So once it has reported on a connection, nothing on an earlier one is carried out any more. Builds that do not number their connections are treated as before.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -77,15 +77,19 @@
     report(true);
 }
 
+bool HostAgent::isStale(const HostOrders& orders) const
+{
+    return orders.epoch < m_epochSeen || (orders.epoch == m_epochSeen && orders.connection < m_ownerConnection);
+}
+
 bool HostAgent::handleOrders(const HostOrders& orders)
 {
-    if (orders.epoch < m_epochSeen) {
-        LogEvent(LogLevel::Warning, "stale_owner").field("epoch", orders.epoch).field("seen", m_epochSeen);
+    if (isStale(orders))
         return false;
-    }
     if (orders.epoch > m_epochSeen)
         LogEvent(LogLevel::Info, "owner_accepted").field("epoch", orders.epoch).field("former", m_epochSeen);
     m_epochSeen = orders.epoch;
+    m_ownerConnection = orders.connection;
     m_ownerCountsReports |= orders.readsPackedReports;
     m_reportsRead = std::max(m_reportsRead, orders.reportsRead);
     const bool sameLife = orders.life == m_life;
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -19,9 +19,10 @@
 
 /// Carries out the owner's orders on one worker and reports to the owner what runs there.
 ///
-/// It obeys only the highest owner epoch that it has seen, and extends the worker's leases only up to a fixed time
-/// after the reading of the worker's clock that the owner has echoed. It reports a start as refused only when the run
-/// can no longer start.
+/// It obeys only the highest owner epoch that it has seen, and of that owner only the newest connection: from a report
+/// on that one the owner may conclude that orders on an earlier one will not be carried out any more. It extends the
+/// worker's leases only up to a fixed time after the reading of the worker's clock that the owner has echoed. It
+/// reports a start as refused only when the run can no longer start.
 class HostAgent {
 public:
     struct Settings {
@@ -93,7 +94,10 @@
     /// Handles a new connection to an owner; sends a full report.
     void handleOwnerConnected();
 
-    /// Carries out an owner's orders. Returns false if the agent has seen a higher epoch; the connection can be closed.
+    /// Whether the orders come from a former owner or on a connection that the owner has replaced.
+    bool isStale(const HostOrders& orders) const;
+
+    /// Carries out an owner's orders. Returns false if they are stale; the connection can be closed.
     bool handleOrders(const HostOrders& orders);
 
     uint64_t epochSeen() const { return m_epochSeen; }
@@ -146,6 +150,7 @@
     Settings m_settings;
 
     uint64_t m_epochSeen { 0 };
+    uint64_t m_ownerConnection { 0 }; ///< Highest HostOrders::connection of the owner with that epoch.
     uint64_t m_connection { 0 }; ///< Number of connections to owners so far.
     uint64_t m_highestOrder { 0 }; ///< Of the current connection.
     uint64_t m_settledOrders { 0 };
--- a/src/node/DispatchAgent.cpp
+++ b/src/node/DispatchAgent.cpp
@@ -67,8 +67,14 @@
     const auto* orders = std::get_if<HostOrders>(&message);
     if (!orders)
         return;
-    if (orders->epoch < m_agent.epochSeen())
+    if (m_agent.isStale(*orders)) {
+        LogEvent(LogLevel::Warning, "orders_stale")
+            .field("epoch", orders->epoch)
+            .field("seen", m_agent.epochSeen())
+            .field("connection", orders->connection)
+            .field("starts", static_cast<uint64_t>(orders->starts.size()));
         return closed(connection);
+    }
     m_lastOrdersAt = m_clock.now();
     connection->readsPackedReports |= orders->readsPackedReports;
     if (m_owner != &*connection) {
--- a/src/node/HostLinks.cpp
+++ b/src/node/HostLinks.cpp
@@ -38,6 +38,7 @@
     link.address = addressText;
     link.unpacker = {};
     link.reportsRead = 0;
+    ++link.number;
     const Address address = orElse([&] { return parseAddress(addressText); },
         [&](const Error& error) {
             LogEvent(LogLevel::Warning, "host_address_unreadable").field("host", host).field("reason", error.message);
@@ -55,7 +56,7 @@
     HostOrders firstOrders;
     firstOrders.epoch = epoch;
     firstOrders.readsPackedReports = true;
-    link.connection->send(firstOrders);
+    send(host, std::move(firstOrders));
 }
 
 void HostLinks::drop(const std::string& host, Link& link)
@@ -102,6 +103,7 @@
     const auto link = m_links.find(host);
     if (link == m_links.end() || !link->second.connection)
         return;
+    orders.connection = link->second.number;
     orders.reportsRead = link->second.reportsRead;
     link->second.connection->send(orders);
 }
--- a/src/node/HostLinks.h
+++ b/src/node/HostLinks.h
@@ -37,6 +37,7 @@
         Instant lastReportAt {};
         Instant openedAt {};
         HostReportUnpacker unpacker;
+        uint64_t number { 0 }; ///< Of the connection; rises with each.
         uint64_t reportsRead { 0 };
     };
 
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -119,6 +119,10 @@
     std::vector<PairInterference> disturbances; ///< Changed estimates for images that run on the host.
     bool readsPackedReports { false }; ///< The owner reads packed reports. Set in the first message of a connection.
     uint64_t reportsRead { 0 }; ///< Number of reports that the owner has read on this connection.
+
+    /// Numbers the owner's connections to the agent from 1, under one epoch. The agent refuses the orders of a
+    /// connection that the owner has replaced. 0 in builds that do not number them.
+    uint64_t connection { 0 };
 };
 
 } // namespace hemlocklead
--- a/src/protocol/MessageJson.h
+++ b/src/protocol/MessageJson.h
@@ -46,7 +46,7 @@
     remainingMs, silent, lapsed, refusesBestEffort, full, settledOrders, running, pending, ends, refusals)
 HEMLOCKLEAD_JSON(PackedHostReport, data)
 HEMLOCKLEAD_JSON(HostOrders, epoch, life, echoMs, acknowledgedEnds, starts, stops, known, disturbances,
-    readsPackedReports, reportsRead)
+    readsPackedReports, reportsRead, connection)
 
 #undef HEMLOCKLEAD_JSON
 
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -171,6 +171,34 @@
         EXPECT_TRUE(lists(sender.reports.back().running, "job.0.0.0"));
     }
 
+    // Guards against a second run of a task: while the agent was suspended, the owner replaced the connection and took
+    // the runs that the agent did not report on the new one for lost. The agent then read their orders from the former
+    // connection (review, case 2: 132 to 144 tasks ran twice).
+    TEST_F(HostAgentTest, orders_ofReplacedConnection_areRefused)
+    {
+        HostOrders former;
+        former.epoch = 7;
+        former.life = life;
+        former.echoMs = workerClock();
+        former.connection = 1;
+        RunOrder start;
+        start.sequence = 1;
+        start.task = "job.0.0.4";
+        start.attempt = 1;
+        former.starts.push_back(start);
+        HostOrders current;
+        current.epoch = 7;
+        current.connection = 2;
+        EXPECT_TRUE(m_agent.handleOrders(current));
+        EXPECT_FALSE(m_agent.handleOrders(former));
+        EXPECT_TRUE(m_worker.starts.empty());
+
+        // The connections of the next owner are numbered anew.
+        former.epoch = 9;
+        EXPECT_TRUE(m_agent.handleOrders(former));
+        EXPECT_EQ(m_worker.starts.size(), 1u);
+    }
+
     // Guards against a start that was ordered for one incarnation of the worker and is carried out by the next one. The
     // owner assumes that nothing runs there and starts the task a second time (soak seed 29, second finding: two runs
     // of each of three tasks).
--- a/tests/unit/HostLinksTest.cpp
+++ b/tests/unit/HostLinksTest.cpp
@@ -16,7 +16,12 @@
             : m_listener(loop, [this](std::unique_ptr<FrameConnection> accepted) {
                 ++connections;
                 m_connection = std::move(accepted);
-                m_connection->setCallbacks({ [this](const Message&) { m_connection->send(answer); }, {} });
+                m_connection->setCallbacks({ [this](const Message& message) {
+                                                if (const auto* orders = std::get_if<HostOrders>(&message))
+                                                    numbers.push_back(orders->connection);
+                                                m_connection->send(answer);
+                                            },
+                    {} });
             })
         {
             EXPECT_TRUE(m_listener.listen(address));
@@ -24,6 +29,7 @@
 
         Message answer;
         int connections { 0 };
+        std::vector<uint64_t> numbers; ///< Of the connections, by their first orders.
 
     private:
         FrameListener m_listener;
@@ -61,5 +67,17 @@
         }));
     }
 
+    // Guards against an agent that cannot tell the owner's current connection from one that the owner has replaced.
+    TEST_F(HostLinksTest, connections_toOneHost_areNumberedFromOne)
+    {
+        m_agent.answer = PackedHostReport { "not a packed report" };
+        EXPECT_TRUE(runUntil([&] {
+            m_links.maintain(1);
+            return m_agent.numbers.size() >= 3;
+        }));
+        m_agent.numbers.resize(3);
+        EXPECT_EQ(m_agent.numbers, (std::vector<uint64_t> { 1, 2, 3 }));
+    }
+
 } // namespace
 } // namespace hemlocklead
