Split orders that exceed the largest message of a connection

Cause: all starts of a cycle went into one message per host, a connection dropped a message over 4 MiB with a log line only, and the owner counts an ordered run as under way for as long as the connection lasts.

Change: orders are sent in messages of about 500 KB. FrameConnection::send says whether a message was too large, and HostLinks replaces the connection in that case, so that an order that was not sent shows in the next report.

Evidence: both tests failed before the change: one message of over 4 MiB was made, and the connection stayed.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/Dispatcher.h"
 
 #include "base/Log.h"
+#include "dispatch/OrderBatches.h"
 
 #include <algorithm>
 
@@ -304,7 +305,8 @@
         orders.acknowledgedEnds = host.endsDurable;
         host.outbox.acknowledgedEnds = host.endsDurable;
         host.orderedAt = now;
-        m_sender.send(name, std::move(orders));
+        for (HostOrders& message : splitOrders(std::move(orders), m_settings.maxMessageBytes))
+            m_sender.send(name, std::move(message));
     }
 }
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -55,6 +55,7 @@
         uint32_t maxMoves { 6 }; ///< A task that has been moved as often stays on its host until it resumes.
         Duration retention { 180'000 }; ///< How long ended jobs are kept.
         size_t maxCommitBytes { 1'000'000 }; ///< Soft limit; the store accepts 2 MiB in one append.
+        size_t maxMessageBytes { 500'000 }; ///< Soft limit of one message to a host; a connection carries 4 MiB.
     };
 
     Dispatcher(JobRegistry& registry, JournalWriter& writer, OrderSender& sender, const Clock& clock,
--- a/src/node/HostLinks.cpp
+++ b/src/node/HostLinks.cpp
@@ -105,7 +105,9 @@
         return;
     orders.connection = link->second.number;
     orders.reportsRead = link->second.reportsRead;
-    link->second.connection->send(orders);
+    // The dispatcher counts on orders to arrive for as long as the connection lasts.
+    if (!link->second.connection->send(orders))
+        drop(host, link->second);
 }
 
 } // namespace hemlocklead
--- a/src/transport/FrameConnection.cpp
+++ b/src/transport/FrameConnection.cpp
@@ -71,19 +71,20 @@
     m_callbacks = std::make_shared<Callbacks>(std::move(callbacks));
 }
 
-void FrameConnection::send(const Message& message)
+bool FrameConnection::send(const Message& message)
 {
     if (!m_native)
-        return;
+        return true;
     const std::string frame = encodeFrame(message);
     if (frame.size() > maxFrameBytes + frameHeaderBytes) {
         LogEvent(LogLevel::Error, "frame_too_large").field("bytes", static_cast<uint64_t>(frame.size()));
-        return;
+        return false;
     }
     Traffic::instance().recordSent(message, frame.size());
     bufferevent_write(m_native, frame.data(), frame.size());
     if (evbuffer_get_length(bufferevent_get_output(m_native)) > maxPendingBytes)
         m_closeTimer.startOnce(Duration { 0 }, [this] { close(); });
+    return true;
 }
 
 void FrameConnection::readFrames()
--- a/src/transport/FrameConnection.h
+++ b/src/transport/FrameConnection.h
@@ -37,8 +37,9 @@
 
     void setCallbacks(Callbacks callbacks);
 
-    /// Queues a message. Does nothing if the connection is closed.
-    void send(const Message& message);
+    /// Queues a message. Does nothing if the connection is closed. Returns false if the message is larger than a frame
+    /// may be; it is not sent then.
+    bool send(const Message& message);
 
     bool isOpen() const { return m_native != nullptr; }
 
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/Dispatcher.h"
 #include "dispatch/JobRequestHandler.h"
 #include "dispatch/Ownership.h"
+#include "protocol/Codec.h"
 #include "support/FixedWallClock.h"
 #include "support/ManualTimers.h"
 #include "support/MemoryJournal.h"
@@ -23,12 +24,17 @@
                 stops.emplace_back(host, stop);
             acknowledged[host] = orders.acknowledgedEnds;
             ++messages;
+            const size_t bytes = encodeFrame(orders).size();
+            largestMessage = std::max(largestMessage, bytes);
+            totalBytes += bytes;
         }
 
         std::vector<std::pair<std::string, RunOrder>> starts;
         std::vector<std::pair<std::string, RunStop>> stops;
         std::map<std::string, uint64_t> acknowledged;
         int messages { 0 };
+        size_t largestMessage { 0 }; ///< Bytes of its frame.
+        size_t totalBytes { 0 };
     };
 
     /// One entry: its copy of the journal, and the dispatcher and ownership that work on it.
@@ -140,7 +146,7 @@
             policy.maxAttempts = attempts;
             policy.stretch = 2;
             JobSpec spec;
-            spec.payload = "payload";
+            spec.payload = m_payload;
             spec.steps = std::move(steps);
             append(jobKey(id), jobValue(policy, spec));
         }
@@ -172,6 +178,7 @@
         ManualClock m_clock;
         ManualTimers m_timers { m_clock };
         MemoryJournal m_journal;
+        std::string m_payload { "payload" }; ///< Of the jobs that are submitted.
     };
 
     // Guards against a run that a later owner does not know of: it must be recorded before it is ordered.
@@ -317,6 +324,31 @@
         EXPECT_EQ(entry.sender.starts[1].first, "host-2");
     }
 
+    // Guards against orders that exceed the largest message: they were dropped, and their jobs never ran (review, case
+    // 3: 1,350 starts on one host after a store outage).
+    TEST_F(DispatcherTest, startOrders_exceedLargestMessage_areSplit)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        entry.dispatcher.hostConnected("host-1");
+        HostReport report = reportOf("host-1");
+        report.capacity = { 64'000, 64'000, 0 };
+        entry.dispatcher.hostReported("host-1", report);
+        constexpr size_t jobs = 45;
+        constexpr uint32_t tasks = 30;
+        StepSpec small = step(tasks, 10);
+        small.resources.memoryMib = 10;
+        m_payload = std::string(3900, 'x');
+        for (size_t job = 0; job < jobs; ++job)
+            submit("job-" + std::to_string(job), { small });
+        run(entry, Duration { 2000 });
+        EXPECT_EQ(entry.sender.starts.size(), jobs * tasks);
+        EXPECT_GT(entry.sender.totalBytes, maxFrameBytes);
+        EXPECT_LT(entry.sender.largestMessage, maxFrameBytes);
+        for (size_t i = 1; i < entry.sender.starts.size(); ++i)
+            ASSERT_EQ(entry.sender.starts[i].second.sequence, entry.sender.starts[i - 1].second.sequence + 1);
+    }
+
     // Guards against runs of a cancelled job, including runs that were recorded but not ordered yet.
     TEST_F(DispatcherTest, job_cancelled_isStoppedAndNothingStarts)
     {
--- a/tests/unit/HostLinksTest.cpp
+++ b/tests/unit/HostLinksTest.cpp
@@ -1,6 +1,7 @@
 #include "node/HostLinks.h"
 #include "RawSockets.h"
 #include "node/LoopTimers.h"
+#include "protocol/Codec.h"
 #include "support/FixedWallClock.h"
 #include "support/LoopFixture.h"
 #include "support/MemoryJournal.h"
@@ -67,6 +68,24 @@
         }));
     }
 
+    // Guards against runs that are taken to be under way for as long as the connection lasts although their order could
+    // not be sent (review, case 3).
+    TEST_F(HostLinksTest, orders_tooLargeForAFrame_connectionIsReplaced)
+    {
+        m_agent.answer = HostReport {};
+        EXPECT_TRUE(runUntil([&] {
+            m_links.maintain(1);
+            return m_agent.connections == 1;
+        }));
+        HostOrders orders;
+        orders.starts.emplace_back().payload = std::string(maxFrameBytes, 'x');
+        m_links.send("side-muscat-a-with-a-long-name", std::move(orders));
+        EXPECT_TRUE(runUntil([&] {
+            m_links.maintain(1);
+            return m_agent.connections == 2;
+        }));
+    }
+
     // Guards against an agent that cannot tell the owner's current connection from one that the owner has replaced.
     TEST_F(HostLinksTest, connections_toOneHost_areNumberedFromOne)
     {
