Send no state of a former worker incarnation to the next one

Cause: a status report made all further calls name the new incarnation, but the agent kept the acknowledged ends, the lease and the outstanding starts of the former one until a poll was answered. Three related paths had the same effect: an answer of the former incarnation that came after the report made it the current one again; an acknowledgement of the owner was applied while the incarnation was unknown; and a poll without an expected incarnation, before the first report, carried the number as well.

Change: the report begins the new incarnation in the agent. Answers to polls that were sent to another incarnation are dropped, acknowledgements and clock readings apply only to a known incarnation, and a number of ends is sent only to a worker that has announced itself.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -37,11 +37,17 @@
 
 int64_t HostAgent::workerClockMs() const { return m_clockMs + (m_clock.now() - m_clockReadAt).count(); }
 
-void HostAgent::handleAnnouncement(const WorkerAnnouncement& announcement)
+bool HostAgent::handleAnnouncement(const WorkerAnnouncement& announcement)
 {
     const bool sameLife = announcement.life == m_announcement.life;
     if (announcement.life < m_announcement.life || (sameLife && announcement.sequence <= m_announcement.sequence))
-        return;
+        return false;
+    // Calls reach the announced incarnation from now on, and must not carry the numbers of ends or the lease of the
+    // former one.
+    if (m_life != 0 && announcement.life > m_life) {
+        beginIncarnation(0);
+        schedulePoll(Duration { 0 });
+    }
     const bool hasChanged = !sameLife || announcement.draining != m_announcement.draining
         || announcement.service != m_announcement.service;
     const bool wasDraining = sameLife && m_announcement.draining;
@@ -49,15 +55,14 @@
     // A draining worker does not become available again in the same incarnation.
     m_announcement.draining |= wasDraining;
     if (!hasChanged)
-        return;
+        return true;
     LogEvent(LogLevel::Info, "worker_announced")
         .field("life", announcement.life)
         .field("service", announcement.service)
         .field("draining", announcement.draining ? 1 : 0)
         .field("remaining_ms", announcement.remainingMs);
-    if (announcement.life > m_life && m_life != 0)
-        schedulePoll(Duration { 0 });
     report(true);
+    return true;
 }
 
 void HostAgent::handleWorkerShutdown()
@@ -92,7 +97,8 @@
     m_ownerConnection = orders.connection;
     m_ownerCountsReports |= orders.readsPackedReports;
     m_reportsRead = std::max(m_reportsRead, orders.reportsRead);
-    const bool sameLife = orders.life == m_life;
+    // While the incarnation is unknown, acknowledgements and readings of the clock belong to a former one.
+    const bool sameLife = m_life != 0 && orders.life == m_life;
     if (sameLife && orders.echoMs > 0)
         m_leaseUntilMs = std::max<int64_t>(m_leaseUntilMs, orders.echoMs + m_settings.lease.count());
     for (const PairInterference& pair : orders.disturbances)
@@ -240,11 +246,14 @@
         poll.leaseUntilMs = m_leaseUntilMs;
         noteLeaseGranted();
     }
-    poll.acknowledgedEnds = m_acknowledgedEnds;
+    // A call names the incarnation it is meant for only once that one has announced itself. Until then, one that has
+    // just replaced it could carry the call out and discard its own ends.
+    if (m_announcement.life == m_life)
+        poll.acknowledgedEnds = m_acknowledgedEnds;
     // The worker answers a poll at once while it has unacknowledged ends.
     const Duration maxWait = m_throttle.isPausing() ? m_settings.pollWaitWhilePausing : m_settings.pollWait;
     poll.wait = m_fence != 0 && m_ends.empty() ? maxWait : Duration { 0 };
-    const SentPoll sent { ++m_pollsSent, m_clock.now(), m_connection, settledOrders() };
+    const SentPoll sent { ++m_pollsSent, m_life, m_clock.now(), m_connection, settledOrders() };
     m_worker.poll(poll, m_fence, [this, sent](WorkerState state) { handlePollAnswer(std::move(state), sent); });
 }
 
@@ -259,6 +268,9 @@
         beginIncarnation(0);
         return schedulePoll(m_settings.minPollInterval);
     }
+    // The incarnation that answered has been replaced since.
+    if (sent.life != m_life)
+        return schedulePoll(m_settings.minPollInterval);
     if (state.life != m_life)
         beginIncarnation(state.life);
     m_clockMs = state.clockMs;
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -84,9 +84,9 @@
 
     void start();
 
-    /// Handles a status announcement of the worker. Announcements that are out of order or of an earlier incarnation
-    /// are ignored.
-    void handleAnnouncement(const WorkerAnnouncement& announcement);
+    /// Handles a status announcement of the worker. Returns false if it is out of order or of an earlier incarnation;
+    /// it is ignored then.
+    bool handleAnnouncement(const WorkerAnnouncement& announcement);
 
     /// Handles the worker's notice that it shuts down.
     void handleWorkerShutdown();
@@ -116,6 +116,7 @@
     /// State of the agent when a poll was sent.
     struct SentPoll {
         uint64_t number;
+        int64_t life; ///< Incarnation that the agent knew.
         Instant sentAt;
         uint64_t connection;
         uint64_t settledOrders;
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -199,6 +199,62 @@
         EXPECT_EQ(m_worker.starts.size(), 1u);
     }
 
+    // Guards against ends of a new incarnation that it discards unread, and against a lease that it gets from the clock
+    // of the former one: the first calls to it carried the former one's numbers (review, case 4: 8 finished tasks ran
+    // again).
+    TEST_F(HostAgentTest, newIncarnation_isAnnounced_nextPollCarriesNothingOfTheFormerOne)
+    {
+        m_timers.run(Duration { 100 });
+        answerPoll({}, { { 5, "job.0.0.1", 1, "done", "" } });
+        HostOrders orders;
+        orders.epoch = 7;
+        orders.life = life;
+        orders.echoMs = workerClock();
+        orders.acknowledgedEnds = 5;
+        m_agent.handleOrders(orders);
+        m_timers.run(Duration { 10 });
+        ASSERT_EQ(m_worker.polls.back().poll.acknowledgedEnds, 5u);
+
+        m_agent.handleAnnouncement(
+            { life + 1, 1, "service", "a", "r1", { "kind", "r1" }, { 8000, 8000, 0 }, false, 0 });
+        const auto former = m_worker.polls.back();
+        m_worker.polls.clear();
+        former.done({});
+        m_timers.run(Duration { 300 });
+        ASSERT_EQ(m_worker.polls.size(), 1u);
+        EXPECT_EQ(m_worker.polls.back().poll.acknowledgedEnds, 0u);
+        EXPECT_FALSE(m_worker.polls.back().poll.leaseUntilMs.has_value());
+    }
+
+    // Guards against a return to the former incarnation when its answer to the last poll arrives after the announcement
+    // of the next one.
+    TEST_F(HostAgentTest, newIncarnation_isAnnounced_answerOfTheFormerOneIsIgnored)
+    {
+        m_timers.run(Duration { 100 });
+        m_agent.handleAnnouncement(
+            { life + 1, 1, "service", "a", "r1", { "kind", "r1" }, { 8000, 8000, 0 }, false, 0 });
+        const size_t reports = m_sender.reports.size();
+        answerPoll({ { { "job.0.0.1", 1, "", 50 }, 0 } }, { { 5, "job.0.0.2", 1, "done", "" } });
+        for (size_t i = reports; i < m_sender.reports.size(); ++i) {
+            EXPECT_NE(m_sender.reports[i].life, life);
+            EXPECT_TRUE(m_sender.reports[i].ends.empty());
+        }
+    }
+
+    // Guards against ends of a new incarnation that it discards unread: while the agent does not know the incarnation,
+    // the owner's acknowledgements refer to the former one.
+    TEST_F(HostAgentTest, orders_whileIncarnationIsUnknown_acknowledgeNothing)
+    {
+        m_timers.run(Duration { 100 });
+        m_worker.polls.back().done({ WorkerState::Status::OtherIncarnation, 0, 0, {}, {} });
+        HostOrders orders;
+        orders.epoch = 7;
+        orders.acknowledgedEnds = 5;
+        m_agent.handleOrders(orders);
+        m_timers.run(Duration { 60 });
+        EXPECT_EQ(m_worker.polls.back().poll.acknowledgedEnds, 0u);
+    }
+
     // Guards against a start that was ordered for one incarnation of the worker and is carried out by the next one. The
     // owner assumes that nothing runs there and starts the task a second time (soak seed 29, second finding: two runs
     // of each of three tasks).
