Take no run for lost while the list of ends is incomplete

Cause: a report said that its list of runs was complete, but not whether the list of ends was.

Evidence: DispatcherTest.report_withPartOfTheEnds_declaresNoRunLost, HostAgentTest.worker_listsPartOfItsEnds_reportSaysSo and PlatformTest.workerState_endsAtTheLimitOfAList_mayBeIncomplete, of which the first two were seen to fail before the change.

--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -272,6 +272,9 @@
 {
     for (const RunReport& row : report.running)
         reconcileRun(host, row);
+    // A run that is neither listed nor under way has ended. Whether it is lost shows only in the complete list of ends.
+    if (report.hasMoreEnds)
+        return;
     std::vector<std::string> lost;
     for (const auto& [name, run] : host.runs) {
         const bool underWay = run.stage == HostRun::Stage::Ordered && run.sequence > report.settledOrders;
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -290,6 +290,7 @@
 void HostAgent::applyState(WorkerState& state, const SentPoll& sent)
 {
     m_running = std::move(state.running);
+    m_hasMoreEnds = state.hasMoreEnds;
     m_hasReadRuns = true;
     m_settledOrders = sent.connection == m_connection ? sent.settledOrders : 0;
     std::erase_if(m_pendingStarts, [&](const auto& entry) {
@@ -351,6 +352,7 @@
     m_acknowledgedEnds = 0;
     m_running.clear();
     m_hasReadRuns = false;
+    m_hasMoreEnds = false;
     m_ends.clear();
     m_pendingStarts.clear();
     m_descriptions.clear();
@@ -422,6 +424,7 @@
     message.remainingMs = m_announcement.remainingMs;
     message.refusesBestEffort = m_throttle.refusesBestEffort(m_clock.now());
     message.full = full && m_life != 0 && m_hasReadRuns && !message.silent;
+    message.hasMoreEnds = m_hasMoreEnds;
     message.settledOrders = m_settledOrders;
     if (message.full) {
         for (const WorkerRun& run : m_running)
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -177,6 +177,7 @@
     bool m_hasReadRuns { false }; ///< `m_running` was read in the current incarnation, under this process's fence.
     std::vector<WorkerRun> m_running;
     std::vector<RunEnd> m_ends; ///< Not acknowledged yet.
+    bool m_hasMoreEnds { false }; ///< The worker's last list of ends may have been incomplete.
     std::vector<RunRefusal> m_refusals; ///< To be sent with the next report.
     std::map<std::string, PendingStart> m_pendingStarts; ///< By task and attempt.
     ThrottleController m_throttle;
--- a/src/dispatch/WorkerPort.h
+++ b/src/dispatch/WorkerPort.h
@@ -48,6 +48,7 @@
     int64_t clockMs { 0 };
     std::vector<WorkerRun> running;
     std::vector<RunEnd> ends;
+    bool hasMoreEnds { false }; ///< The worker may have further ends, which it lists once these are acknowledged.
 };
 
 /// Calls to the worker on the agent's host.
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -95,6 +95,7 @@
     bool lapsed { false }; ///< Unresponsive for so long that every lease on it has expired.
     bool refusesBestEffort { false }; ///< The agent would refuse or pause a best-effort task that starts now.
     bool full { false }; ///< `running` and `pending` are complete.
+    bool hasMoreEnds { false }; ///< `ends` is incomplete: the worker lists a limited number of ends at a time.
     uint64_t settledOrders { 0 }; ///< Orders up to this one were carried out or refused before `running` was read.
     std::vector<RunReport> running;
     std::vector<RunReport> pending;
--- a/src/protocol/ReportPacking.cpp
+++ b/src/protocol/ReportPacking.cpp
@@ -16,6 +16,7 @@
     constexpr uint64_t descriptionFlag = 16; ///< The fields that describe the host follow.
     constexpr uint64_t epochFlag = 32; ///< The epoch and the incarnation of the worker follow.
     constexpr uint64_t refusesBestEffortFlag = 128;
+    constexpr uint64_t moreEndsFlag = 256;
     constexpr uint64_t allEndsFlag = 64; ///< All ends follow; otherwise only those added at the end of the list.
 
     /// The numbers of a run that change while it runs, each with a bit in the mask of its row.
@@ -144,7 +145,7 @@
     PackWriter out;
     uint64_t flags = (report.draining ? drainingFlag : 0) | (report.silent ? silentFlag : 0)
         | (report.lapsed ? lapsedFlag : 0) | (report.full ? fullFlag : 0)
-        | (report.refusesBestEffort ? refusesBestEffortFlag : 0);
+        | (report.refusesBestEffort ? refusesBestEffortFlag : 0) | (report.hasMoreEnds ? moreEndsFlag : 0);
     if (!describeSameHost(report, m_last))
         flags |= descriptionFlag;
     if (report.epochSeen != m_last.epochSeen || report.life != m_last.life)
@@ -235,6 +236,7 @@
     m_last.lapsed = (flags & lapsedFlag) != 0;
     m_last.full = (flags & fullFlag) != 0;
     m_last.refusesBestEffort = (flags & refusesBestEffortFlag) != 0;
+    m_last.hasMoreEnds = (flags & moreEndsFlag) != 0;
     if ((flags & descriptionFlag) != 0)
         takeDescription(in, m_last);
     if ((flags & epochFlag) != 0) {
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -324,6 +324,32 @@
         EXPECT_EQ(entry.sender.starts[1].first, "host-2");
     }
 
+    // Guards against finished tasks that run again: a worker lists a limited number of ends at a time, so a run that it
+    // does not list may have ended (review, 600 ends on one worker: 100 tasks ran twice).
+    TEST_F(DispatcherTest, report_withPartOfTheEnds_declaresNoRunLost)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { step(2, 1000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 2u);
+        HostReport report = reportOf("host-1");
+        report.settledOrders = 2;
+        report.ends = { endOf(1, entry.sender.starts[0].second, "done") };
+        report.hasMoreEnds = true;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 200 });
+        EXPECT_EQ(entry.sender.starts.size(), 2u);
+        EXPECT_EQ(entry.sender.acknowledged["host-1"], 1u);
+        report.ends = { endOf(2, entry.sender.starts[1].second, "done") };
+        report.hasMoreEnds = false;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 200 });
+        EXPECT_EQ(entry.sender.starts.size(), 2u);
+        EXPECT_EQ(entry.registry.find("job")->publishedPhase(), JobPhase::Completed);
+    }
+
     // Guards against orders that exceed the largest message: they were dropped, and their jobs never ran (review, case
     // 3: 1,350 starts on one host after a store outage).
     TEST_F(DispatcherTest, startOrders_exceedLargestMessage_areSplit)
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -255,6 +255,21 @@
         EXPECT_EQ(m_worker.polls.back().poll.acknowledgedEnds, 0u);
     }
 
+    // Guards against finished tasks that run again: a run without an end in an incomplete list of ends may have ended
+    // (review, 600 ends on one worker: 100 tasks ran twice).
+    TEST_F(HostAgentTest, worker_listsPartOfItsEnds_reportSaysSo)
+    {
+        m_timers.run(Duration { 100 });
+        const auto poll = m_worker.polls.back();
+        m_worker.polls.clear();
+        poll.done({ WorkerState::Status::Ok, life, workerClock(), {}, { { 1, "job.0.0.1", 1, "done", "" } }, true });
+        EXPECT_TRUE(lastReport().full);
+        EXPECT_TRUE(lastReport().hasMoreEnds);
+        m_timers.run(Duration { 200 });
+        answerPoll({}, { { 2, "job.0.0.2", 1, "done", "" } });
+        EXPECT_FALSE(lastReport().hasMoreEnds);
+    }
+
     // Guards against a start that was ordered for one incarnation of the worker and is carried out by the next one. The
     // owner assumes that nothing runs there and starts the task a second time (soak seed 29, second finding: two runs
     // of each of three tasks).
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -122,10 +122,22 @@
         EXPECT_EQ(state.running[0].measurement, 12);
         ASSERT_EQ(state.ends.size(), 1u);
         EXPECT_EQ(state.ends[0], (RunEnd { 3, "t", 1, "done", "c" }));
+        EXPECT_FALSE(state.hasMoreEnds);
         EXPECT_EQ(parseWorkerState(200, "{").status, dispatch::WorkerState::Status::None);
         EXPECT_EQ(parseWorkerState(421, "").status, dispatch::WorkerState::Status::OtherIncarnation);
     }
 
+    // Guards against a list of ends at the minion's limit that is taken for complete: finished tasks ran again.
+    TEST_F(PlatformTest, workerState_endsAtTheLimitOfAList_mayBeIncomplete)
+    {
+        Json body = { { "clockMs", 1 }, { "born", 1 }, { "running", Json::array() }, { "endedRuns", Json::array() } };
+        for (int i = 1; i <= 499; ++i)
+            body["endedRuns"].push_back({ i, "a.0.0.0", i, "done", "" });
+        EXPECT_FALSE(parseWorkerState(200, jsonText(body)).hasMoreEnds);
+        body["endedRuns"].push_back({ 500, "a.0.0.0", 500, "done", "" });
+        EXPECT_TRUE(parseWorkerState(200, jsonText(body)).hasMoreEnds);
+    }
+
     // Guards against an older configuration that replaces a newer one, and against a route that takes the requests of
     // another route with a longer prefix.
     TEST_F(PlatformTest, configuration_olderVersion_isNotApplied)
--- a/tests/unit/ReportPackingTest.cpp
+++ b/tests/unit/ReportPackingTest.cpp
@@ -32,6 +32,7 @@
             m_report.full = !chance(10);
             m_report.silent = chance(20);
             m_report.refusesBestEffort = chance(5);
+            m_report.hasMoreEnds = chance(7);
             m_report.settledOrders += below(3);
             if (chance(50))
                 m_report.epochSeen += 1000;
