Place nothing before the operators' records have been read

Cause: an owner that had not read the operators' records yet took the set of closed data centres for empty.

Change: the set is empty-or-unknown until all of those records have been read once, and the dispatcher places nothing until then.

Evidence: DispatcherTest.closedDataCentres_notReadYet_nothingStarts failed without the check.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -109,7 +109,11 @@
         m_hosts.host(host);
 }
 
-void Dispatcher::setClosedDataCentres(std::set<std::string> closed) { m_closedDataCentres = std::move(closed); }
+void Dispatcher::setClosedDataCentres(std::set<std::string> closed)
+{
+    m_closedDataCentres = std::move(closed);
+    m_knowsClosedDataCentres = true;
+}
 
 void Dispatcher::setQueuePolicies(const std::map<std::string, QueuePolicy>& policies)
 {
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -74,7 +74,7 @@
     void hostDisconnected(const std::string& host);
     void hostReported(const std::string& host, const HostReport& report);
 
-    /// Sets the data centres in which no new runs start.
+    /// Sets the data centres in which no new runs start. Nothing is placed before the first call.
     void setClosedDataCentres(std::set<std::string> closed);
 
     /// Applies the configured policies, by queue name. Jobs of removed queues keep their policy.
@@ -172,6 +172,7 @@
     ServiceLevelMonitor m_serviceLevels;
     WaitingStepLog m_waitingSteps;
     std::set<std::string> m_closedDataCentres;
+    bool m_knowsClosedDataCentres { false };
     std::map<std::string, QueuePolicy> m_policies;
     bool m_active { false };
     std::set<std::string> m_openJobs; ///< Jobs that have not ended.
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -14,6 +14,8 @@
 
 void Dispatcher::placeJobs()
 {
+    if (!m_knowsClosedDataCentres)
+        return;
     // Order by queue priority, then jobs that can still meet their objective before late ones, then by age. Under
     // overload it is worth more to finish some jobs on time than to finish all of them late.
     using Key = std::tuple<int64_t, int, uint64_t>;
--- a/src/dispatch/RouteTable.h
+++ b/src/dispatch/RouteTable.h
@@ -32,6 +32,7 @@
     /// Applies a configuration; returns false if it is older than the current one.
     bool apply(Configuration configuration);
 
+    /// Sets the closed data centres once all of the operators' records have been read.
     void setClosedDataCentres(std::set<std::string> closed) { m_closed = std::move(closed); }
 
     bool hasConfiguration() const { return m_configuration.version > 0; }
@@ -43,13 +44,13 @@
     /// Policy of each queue, by its name.
     const std::map<std::string, QueuePolicy>& policies() const { return m_policies; }
 
-    /// Data centres in which no new tasks start.
-    const std::set<std::string>& closedDataCentres() const { return m_closed; }
+    /// Data centres in which no new tasks start; empty until they have been set once.
+    const std::optional<std::set<std::string>>& closedDataCentres() const { return m_closed; }
 
 private:
     Configuration m_configuration;
     std::map<std::string, QueuePolicy> m_policies;
-    std::set<std::string> m_closed;
+    std::optional<std::set<std::string>> m_closed;
 };
 
 } // namespace hemlocklead::dispatch
--- a/src/node/DispatchEntry.cpp
+++ b/src/node/DispatchEntry.cpp
@@ -101,7 +101,8 @@
 void DispatchEntry::routesChanged()
 {
     m_dispatcher.setQueuePolicies(m_routes.policies());
-    m_dispatcher.setClosedDataCentres(m_routes.closedDataCentres());
+    if (const auto& closed = m_routes.closedDataCentres())
+        m_dispatcher.setClosedDataCentres(*closed);
 }
 
 bool DispatchEntry::isReady() const { return m_routes.hasConfiguration() && m_jobRequests.isReady() && !m_releasing; }
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -53,6 +53,7 @@
                       } })
         {
             registry.setListener(&dispatcher);
+            dispatcher.setClosedDataCentres({});
             follower.start();
         }
 
@@ -413,6 +414,38 @@
             EXPECT_EQ(host, "host-2");
     }
 
+    // Guards against starts in a closed data centre by an owner that has restarted and has not read the operators'
+    // records yet: on a thin link the page with a large configuration takes seconds (review, 656 starts).
+    TEST_F(DispatcherTest, closedDataCentres_notReadYet_nothingStarts)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        RecordingSender sender;
+        Dispatcher restarted(
+            entry.registry, entry.writer, sender, m_clock, entry.wallClock, entry.counters, Dispatcher::Settings {});
+        becomeOwner(entry);
+        entry.dispatcher.deactivate();
+        entry.registry.setListener(&restarted);
+        restarted.activate(true);
+        const auto runCycles = [&](Duration time) {
+            for (Duration passed { 0 }; passed < time; passed += Duration { 25 }) {
+                m_timers.run(Duration { 25 });
+                entry.ownership.tick();
+                for (const char* host : { "host-1", "host-2" })
+                    restarted.hostReported(host, reportOf(host));
+                restarted.runCycle();
+            }
+        };
+        restarted.hostConnected("host-1");
+        restarted.hostConnected("host-2");
+        submit("job", { step(1, 1000) });
+        runCycles(Duration { 1000 });
+        EXPECT_TRUE(sender.starts.empty());
+        restarted.setClosedDataCentres({ "a" });
+        runCycles(Duration { 200 });
+        ASSERT_EQ(sender.starts.size(), 1u);
+        EXPECT_EQ(sender.starts[0].first, "host-2");
+    }
+
     // Guards against lost long-running tasks and lost progress when the owner changes, and against starting a run
     // twice: the new owner adopts the runs that hosts report and restarts only those that provably do not exist.
     TEST_F(DispatcherTest, newOwner_hostReportsRuns_adoptsListedAndRestartsOthers)
--- a/tests/unit/ThinLinkTest.cpp
+++ b/tests/unit/ThinLinkTest.cpp
@@ -113,6 +113,7 @@
             for (const char* entry : { "entry-1", "entry-2" })
                 append(entryKey(entry), entryValue({ 1, 0.12, legacy ? 0 : recordFormatVersion }));
             m_registry.setListener(&m_dispatcher);
+            m_dispatcher.setClosedDataCentres({});
             m_follower.start();
             run(Duration { 300 });
             m_otherFollower.start();
