Record the lease ends of hosts out of touch for later owners

Cause: a new owner counted the wait of authority and lease from its own claim. The former owner's last record is older than the claim, and the owner before it had granted the leases; nothing of that was recorded.

Change: the wait counts from the last record of an earlier owner. An owner records the hosts with runs that it has not heard, with the end of their leases, and sends no orders to a listed host before a list without it is recorded. So a later owner uses the recorded end. The same list closes a gap of the former rule: after a planned stop, the bound took no account of an owner before the one that stopped.

Evidence: DispatcherTest.ownersChangeInSeries_leaseEndOfALostHostIsNotPostponed and host_backInTouch_getsOrdersOnlyOnceItIsNoLongerListed failed without the use of the list. The authority of 8 s is unchanged.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -35,10 +35,14 @@
     deactivate();
     m_active = true;
     const Instant now = m_clock.now();
-    // The former owner may renew leases for `authority` after its last append, which precedes the claim.
-    const Duration former = formerStopped ? Duration { 0 } : m_settings.authority;
-    for (const auto& [name, member] : m_registry.hosts())
-        m_hosts.host(name).leaseEnd = now + former + m_settings.lease + m_settings.leaseMargin;
+    const Instant unlistedEnd = adoptedLeaseEnd(formerStopped);
+    const std::optional<LeaseList>& list = m_registry.leaseList();
+    for (const auto& [name, member] : m_registry.hosts()) {
+        const bool isListed = list && list->ends.contains(name);
+        if (isListed)
+            m_listedHosts.insert(name);
+        m_hosts.host(name).leaseEnd = isListed ? list->ends.at(name) : unlistedEnd;
+    }
     for (const auto& [id, job] : m_registry.jobs()) {
         adoptRuns(*job);
         if (isFinal(job->phase())) {
@@ -57,6 +61,45 @@
         .field("hosts", static_cast<uint64_t>(m_hosts.hosts().size()));
 }
 
+Instant Dispatcher::adoptedLeaseEnd(bool formerStopped) const
+{
+    const Instant now = m_clock.now();
+    // An earlier owner may extend leases for `authority` after its last append, which precedes the claim.
+    Instant extendedUntil = m_registry.formerOwnerSeenAt().value_or(now) + m_settings.authority;
+    // If the former owner has stopped, only owners before it may be left. The hosts that it had not taken over from
+    // them are in its list.
+    const std::optional<LeaseList>& list = m_registry.leaseList();
+    if (formerStopped && (!list || list->epoch == m_registry.formerEpoch()))
+        extendedUntil = now;
+    return extendedUntil + m_settings.lease + m_settings.leaseMargin;
+}
+
+std::set<std::string> Dispatcher::hostsToList() const
+{
+    const Instant now = m_clock.now();
+    std::set<std::string> hosts;
+    for (const auto& [name, host] : m_hosts.hosts()) {
+        const bool isOutOfTouch = !host.reported && now - host.reportedAt >= m_settings.listLeasesAfter;
+        if (isOutOfTouch && !host.runs.empty())
+            hosts.insert(name);
+    }
+    return hosts;
+}
+
+void Dispatcher::listLeases(std::vector<JournalRecord>& records, Commit& commit)
+{
+    std::set<std::string> hosts = hostsToList();
+    if (m_hasRecordedLeases && m_listedHosts == hosts)
+        return;
+    std::map<std::string, Duration> remaining;
+    for (const std::string& name : hosts)
+        remaining.emplace(name, m_hosts.host(name).leaseEnd - m_clock.now());
+    records.push_back({ std::string(leasesKey), leasesValue(m_writer.epoch(), remaining), 0 });
+    // Until the outcome is known, either list may be the newest.
+    m_listedHosts.insert(hosts.begin(), hosts.end());
+    commit.listedHosts = std::move(hosts);
+}
+
 void Dispatcher::adoptRuns(Job& job)
 {
     job.noteEvent(m_clock.now());
@@ -75,6 +118,8 @@
     m_dirtyJobs.clear();
     m_pendingAcks.clear();
     m_pendingStarts.clear();
+    m_listedHosts.clear();
+    m_hasRecordedLeases = false;
     m_endedJobs.clear();
     m_ejector = StartEjector(ejectorSettings);
     m_serviceLevels.reset();
@@ -206,6 +251,7 @@
         commit.starts = std::exchange(m_pendingStarts, {});
     }
     removeExpiredJobs(records);
+    listLeases(records, commit);
     if (records.empty())
         return onCommitDurable(commit);
     for (const PendingStart& start : commit.starts) {
@@ -228,6 +274,10 @@
         if (Job* job = m_registry.find(id))
             job->publishPhase(phase);
     }
+    if (commit.listedHosts) {
+        m_listedHosts = *commit.listedHosts;
+        m_hasRecordedLeases = true;
+    }
     for (const EndAck& ack : commit.acks) {
         HostState* host = m_hosts.find(ack.host);
         if (host && host->last.life == ack.life)
@@ -298,7 +348,7 @@
     if (now - m_writer.epochConfirmedAt() > m_settings.authority)
         return;
     for (auto& [name, host] : m_hosts.hosts()) {
-        if (!host.connected || !host.reported)
+        if (!host.connected || !host.reported || m_listedHosts.contains(name))
             continue;
         if (host.outboxIsEmpty() && now - host.orderedAt < m_settings.keepaliveInterval)
             continue;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -38,6 +38,9 @@
         Duration lease { 5000 }; ///< A host ends its runs when it has received no orders for this long.
         Duration leaseMargin { 400 }; ///< Covers a worker clock that is 2% slow, and late timers.
         Duration authority { 8000 }; ///< Leases are renewed this long after the last append that confirmed ownership.
+        /// A host without a report for this long is recorded as one whose leases the owner does not extend. The last
+        /// lease then ends soon, so a host that is back does not depend on the store for its next one.
+        Duration listLeasesAfter { 3000 };
         Duration keepaliveInterval { 400 }; ///< Longest interval between two messages to a host.
         Duration maxReportAge { 1500 }; ///< A host whose last report is older gets no new runs.
         Duration stopRetryInterval { 600 }; ///< Interval at which a stop is repeated until the run has ended.
@@ -109,9 +112,13 @@
         std::vector<std::pair<std::string, JobPhase>> jobs;
         std::vector<EndAck> acks;
         std::vector<PendingStart> starts;
+        std::optional<std::set<std::string>> listedHosts; ///< In the list of leases that it records.
     };
 
     void adoptRuns(Job& job);
+    Instant adoptedLeaseEnd(bool formerStopped) const;
+    std::set<std::string> hostsToList() const;
+    void listLeases(std::vector<JournalRecord>& records, Commit& commit);
     void markDirty(Job& job) { m_dirtyJobs.insert(job.id()); }
 
     // Handling of host reports (DispatcherReports.cpp).
@@ -179,6 +186,8 @@
     std::set<std::string> m_dirtyJobs; ///< Jobs whose state has changed since their last record.
     std::vector<EndAck> m_pendingAcks; ///< Acknowledged after the next commit.
     std::vector<PendingStart> m_pendingStarts; ///< Ordered after the next commit.
+    std::set<std::string> m_listedHosts; ///< Hosts in the newest list of leases or in the one that is being recorded.
+    bool m_hasRecordedLeases { false }; ///< This owner's first list is recorded.
     std::map<std::string, Instant> m_endedJobs; ///< When each ended job ended, until its records are removed.
 };
 
--- a/src/dispatch/JobRegistry.cpp
+++ b/src/dispatch/JobRegistry.cpp
@@ -30,7 +30,15 @@
 std::string ownerValue(const OwnerRecord& owner)
 {
     return jsonText({ { "epoch", owner.epoch }, { "entry", owner.entry }, { "incarnation", owner.incarnation },
-        { "released", owner.released } });
+        { "released", owner.released }, { "lists_leases", owner.listsLeases } });
+}
+
+std::string leasesValue(uint64_t epoch, const std::map<std::string, Duration>& remaining)
+{
+    Json hosts = Json::object();
+    for (const auto& [host, time] : remaining)
+        hosts[host] = time.count();
+    return jsonText({ { "epoch", epoch }, { "hosts", std::move(hosts) } });
 }
 
 std::string candidateValue(const Candidacy& candidacy)
@@ -63,6 +71,7 @@
         { statePrefix, &JobRegistry::applyState },
         { cancelPrefix, &JobRegistry::applyCancel },
         { ownerKey, &JobRegistry::applyOwner },
+        { leasesKey, &JobRegistry::applyLeases },
         { candidateKey, &JobRegistry::applyCandidate },
         { hostPrefix, &JobRegistry::applyHost },
         { entryPrefix, &JobRegistry::applyEntry },
@@ -79,6 +88,9 @@
     m_entries.clear();
     m_hosts.clear();
     m_owner = {};
+    m_formerEpoch = 0;
+    m_formerOwnerSeenAt.reset();
+    m_leaseList.reset();
     m_candidacies.clear();
     if (m_listener)
         m_listener->registryReset();
@@ -225,15 +237,31 @@
 void JobRegistry::applyOwner(const std::string&, const JournalRecord&, const Json& value)
 {
     OwnerRecord owner { value.at("epoch").get<uint64_t>(), value.at("entry").get<std::string>(),
-        value.value("incarnation", uint64_t { 0 }), value.value("released", false) };
+        value.value("incarnation", uint64_t { 0 }), value.value("released", false),
+        value.value("lists_leases", false) };
     if (owner.epoch < m_owner.epoch)
         return;
-    m_ownerSeenAt = m_clock.now();
-    if (owner.epoch != m_owner.epoch)
+    if (owner.epoch != m_owner.epoch) {
         m_candidacies.clear();
+        m_formerEpoch = m_owner.epoch;
+        m_formerOwnerSeenAt = m_owner.epoch == 0 ? std::nullopt : std::optional(m_ownerSeenAt);
+    }
+    m_ownerSeenAt = m_clock.now();
+    if (!owner.listsLeases)
+        m_leaseList.reset();
     m_owner = std::move(owner);
 }
 
+void JobRegistry::applyLeases(const std::string&, const JournalRecord&, const Json& value)
+{
+    const Instant now = m_clock.now();
+    m_ownerSeenAt = now;
+    LeaseList list { value.at("epoch").get<uint64_t>(), {} };
+    for (const auto& [host, remainingMs] : value.at("hosts").items())
+        list.ends.emplace(host, now + Duration { remainingMs.get<int64_t>() });
+    m_leaseList = std::move(list);
+}
+
 void JobRegistry::applyCandidate(const std::string&, const JournalRecord&, const Json& value)
 {
     Candidacy candidacy { value.at("former_epoch").get<uint64_t>(), value.at("entry").get<std::string>(),
--- a/src/dispatch/JobRegistry.h
+++ b/src/dispatch/JobRegistry.h
@@ -16,6 +16,15 @@
     std::string entry;
     uint64_t incarnation { 0 }; ///< Of the entry's process.
     bool released { false }; ///< The owner has given up the ownership and sends no more orders.
+    bool listsLeases { true }; ///< The owner keeps a LeaseList; earlier builds do not.
+};
+
+/// Hosts whose leases no owner extends, with the end of their leases. An owner, the one that recorded the list or a
+/// later one, extends the leases of a listed host only once a list without the host is recorded. So the newest list
+/// holds over any number of changes of owner.
+struct LeaseList {
+    uint64_t epoch { 0 }; ///< Of the owner that recorded it.
+    std::map<std::string, Instant> ends; ///< By host.
 };
 
 /// An entry process that can become the owner of the jobs.
@@ -76,6 +85,16 @@
     std::map<std::string, std::unique_ptr<Job>>& jobs() { return m_jobs; }
     const OwnerRecord& owner() const { return m_owner; }
 
+    /// Epoch of the owner before the current one; 0 without one.
+    uint64_t formerEpoch() const { return m_formerEpoch; }
+
+    /// When this process read the last record of an earlier owner than the current one. Empty if it has read the
+    /// current owner's first record from a page, which says nothing about the order of records.
+    std::optional<Instant> formerOwnerSeenAt() const { return m_formerOwnerSeenAt; }
+
+    /// The newest list of leases; empty if the current owner may extend leases without one.
+    const std::optional<LeaseList>& leaseList() const { return m_leaseList; }
+
     /// When this process last read a record written by the owner.
     Instant ownerSeenAt() const { return m_ownerSeenAt; }
 
@@ -104,6 +123,7 @@
     void applyState(const std::string& name, const JournalRecord& record, const Json& value);
     void applyCancel(const std::string& name, const JournalRecord& record, const Json& value);
     void applyOwner(const std::string& name, const JournalRecord& record, const Json& value);
+    void applyLeases(const std::string& name, const JournalRecord& record, const Json& value);
     void applyCandidate(const std::string& name, const JournalRecord& record, const Json& value);
     void applyHost(const std::string& name, const JournalRecord& record, const Json& value);
     void applyEntry(const std::string& name, const JournalRecord& record, const Json& value);
@@ -125,6 +145,9 @@
     /// Newest packed progress that has not been decoded, by job id.
     std::map<std::string, std::string> m_packedStates;
     OwnerRecord m_owner;
+    uint64_t m_formerEpoch { 0 };
+    std::optional<Instant> m_formerOwnerSeenAt;
+    std::optional<LeaseList> m_leaseList;
     Instant m_ownerSeenAt {};
     std::vector<Candidacy> m_candidacies; ///< For the current owner's epoch, in the order of the journal.
     std::map<std::string, EntryMember> m_entries;
@@ -138,11 +161,15 @@
 std::string hostKey(const std::string& host);
 std::string entryKey(const std::string& entry);
 constexpr std::string_view ownerKey = "owner/";
+constexpr std::string_view leasesKey = "leases/";
 constexpr std::string_view candidateKey = "candidate/";
 
 /// Values of journal records.
 std::string jobValue(const QueuePolicy& policy, const JobSpec& spec);
 std::string ownerValue(const OwnerRecord& owner);
+
+/// `remaining` is the time until the leases of each listed host have ended.
+std::string leasesValue(uint64_t epoch, const std::map<std::string, Duration>& remaining);
 std::string candidateValue(const Candidacy& candidacy);
 std::string hostValue(const HostMember& host);
 std::string entryValue(const EntryMember& entry);
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -376,6 +376,68 @@
             ASSERT_EQ(entry.sender.starts[i].second.sequence, entry.sender.starts[i - 1].second.sequence + 1);
     }
 
+    // Guards against runs on a lost host that wait for the full authority and lease again after each change of owner
+    // (review, case 5: 13.4 s from the last change, however old the leases were).
+    TEST_F(DispatcherTest, ownersChangeInSeries_leaseEndOfALostHostIsNotPostponed)
+    {
+        Entry first("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(first);
+        connect(first, "host-1");
+        submit("job", { longRunningStep(1000) });
+        run(first, Duration { 300 });
+        ASSERT_EQ(first.sender.starts.size(), 1u);
+        const Instant lastAppend = m_clock.now();
+
+        // Each of the owners is gone soon after its claim, and host-1 is lost.
+        Entry second("entry-2", m_journal, m_timers, m_clock);
+        Entry third("entry-3", m_journal, m_timers, m_clock);
+        run(second, Duration { 3500 });
+        ASSERT_TRUE(second.ownership.isOwner());
+        run(third, Duration { 3500 });
+        ASSERT_TRUE(third.ownership.isOwner());
+        connect(third, "host-2");
+        const Dispatcher::Settings settings;
+        const Instant leaseEnd = lastAppend + settings.authority + settings.lease + settings.leaseMargin;
+        while (third.sender.starts.empty() && m_clock.now() < leaseEnd + Duration { 5000 }) {
+            run(third, Duration { 100 });
+            third.dispatcher.hostReported("host-2", reportOf("host-2"));
+        }
+        ASSERT_EQ(third.sender.starts.size(), 1u);
+        EXPECT_EQ(third.sender.starts[0].first, "host-2");
+        EXPECT_GE(m_clock.now(), leaseEnd - Duration { 1000 });
+        EXPECT_LE(m_clock.now(), leaseEnd + Duration { 500 });
+    }
+
+    // Guards against two concurrent runs of a task: a later owner relies on the recorded end of the leases of a host
+    // that is out of touch, so they may be extended only once the record no longer lists it.
+    TEST_F(DispatcherTest, host_backInTouch_getsOrdersOnlyOnceItIsNoLongerListed)
+    {
+        Entry first("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(first);
+        connect(first, "host-1");
+        submit("job", { longRunningStep(1000) });
+        run(first, Duration { 300 });
+        Entry second("entry-2", m_journal, m_timers, m_clock);
+        run(second, Duration { 2900 });
+        ASSERT_TRUE(second.ownership.isOwner());
+        ASSERT_TRUE(second.registry.leaseList());
+        ASSERT_TRUE(second.registry.leaseList()->ends.contains("host-1"));
+
+        m_journal.mode = MemoryJournal::Mode::Refusing;
+        HostReport report = reportOf("host-1");
+        report.running = { { "job.0.0.0", 1, "", 100 } };
+        second.dispatcher.hostConnected("host-1");
+        for (int i = 0; i < 10; ++i) {
+            second.dispatcher.hostReported("host-1", report);
+            run(second, Duration { 100 });
+        }
+        EXPECT_EQ(second.sender.messages, 0);
+        m_journal.mode = MemoryJournal::Mode::Normal;
+        run(second, Duration { 1500 });
+        EXPECT_GT(second.sender.messages, 0);
+        EXPECT_TRUE(second.registry.leaseList()->ends.empty());
+    }
+
     // Guards against runs of a cancelled job, including runs that were recorded but not ordered yet.
     TEST_F(DispatcherTest, job_cancelled_isStoppedAndNothingStarts)
     {
