Answer "no such job" to a cancel only with an up-to-date view

Change: the entry waits until it has read all that was recorded when the request arrived, and answers "not ready" if that takes until the caller's deadline.

Evidence: DispatcherTest.cancel_jobAcceptedElsewhereJustBefore_isRecorded failed before the change.

--- a/src/dispatch/JobRequestHandler.cpp
+++ b/src/dispatch/JobRequestHandler.cpp
@@ -55,10 +55,23 @@
 }
 
 void JobRequestHandler::cancel(const std::string& id, Instant deadline, Callback done)
+{
+    cancelOnceKnown(id, m_clock.now(), deadline, std::move(done));
+}
+
+void JobRequestHandler::cancelOnceKnown(const std::string& id, Instant receivedAt, Instant deadline, Callback done)
 {
     const Job* job = m_registry.find(id);
-    if (!job && !m_accepted.contains(id))
-        return done(isReady() ? JobRequestStatus::NoSuchJob : JobRequestStatus::NotReady);
+    if (!job && !m_accepted.contains(id)) {
+        if (m_follower.isCaughtUp() && m_follower.freshAsOf() >= receivedAt)
+            return done(JobRequestStatus::NoSuchJob);
+        if (m_clock.now() + m_settings.viewCheckInterval >= deadline - m_settings.replyMargin)
+            return done(JobRequestStatus::NotReady);
+        m_timers.after(m_settings.viewCheckInterval, [this, id, receivedAt, deadline, done = std::move(done)] {
+            cancelOnceKnown(id, receivedAt, deadline, done);
+        });
+        return;
+    }
     if (job && (job->isCancelRequested() || isFinal(job->publishedPhase())))
         return done(JobRequestStatus::Done);
     auto append = std::make_shared<Append>();
--- a/src/dispatch/JobRequestHandler.h
+++ b/src/dispatch/JobRequestHandler.h
@@ -24,6 +24,7 @@
     struct Settings {
         Duration appendTimeout { 700 }; ///< For one append; allows several retries before a caller's deadline.
         Duration retryDelay { 100 }; ///< Before an unanswered append is retried.
+        Duration viewCheckInterval { 20 }; ///< While a request waits until the view of the journal is up to date.
         Duration replyMargin { 250 }; ///< Left before the caller's deadline for sending the reply.
         Duration storeTimeout { 1600 }; ///< With an older view the store counts as unreachable: reads wait at most 1 s.
         Duration maxViewAge { 2500 }; ///< An older view cannot prove that a job does not exist.
@@ -40,7 +41,8 @@
     /// accepted under the same id is left unchanged.
     void submit(const std::string& id, const QueuePolicy& policy, const JobSpec& spec, Instant deadline, Callback done);
 
-    /// Records the cancellation of the job.
+    /// Records the cancellation of the job. Another entry may have accepted a job just before, so `NoSuchJob` is
+    /// reported only once this entry has read all that was recorded when the request arrived.
     void cancel(const std::string& id, Instant deadline, Callback done);
 
     /// Writes the job's phase to `out`, or returns why it is not known.
@@ -61,6 +63,7 @@
     };
 
     bool isStoreUnreachable() const;
+    void cancelOnceKnown(const std::string& id, Instant receivedAt, Instant deadline, Callback done);
     void send(const std::shared_ptr<Append>& append);
     void answered(const std::shared_ptr<Append>& append, AppendStatus status);
 
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -947,6 +947,25 @@
         EXPECT_EQ(m_journal.appends, appends);
     }
 
+    // Guards against a job that runs on after its cancellation was answered with "no such job": another entry had
+    // accepted it some milliseconds before (review, 28 to 30 tasks).
+    TEST_F(DispatcherTest, cancel_jobAcceptedElsewhereJustBefore_isRecorded)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        JobRequestHandler handler(entry.registry, entry.follower, m_journal, m_timers, m_clock, entry.counters,
+            JobRequestHandler::Settings {});
+        m_timers.run(Duration { 55 });
+        submit("job", { step(1, 1000) });
+        ASSERT_FALSE(entry.registry.find("job"));
+        std::vector<JobRequestStatus> results;
+        const auto record = [&](JobRequestStatus status) { results.push_back(status); };
+        handler.cancel("job", m_clock.now() + Duration { 3000 }, record);
+        handler.cancel("unknown", m_clock.now() + Duration { 3000 }, record);
+        m_timers.run(Duration { 1500 });
+        EXPECT_EQ(results, (std::vector<JobRequestStatus> { JobRequestStatus::Done, JobRequestStatus::NoSuchJob }));
+        EXPECT_TRUE(entry.registry.find("job")->isCancelRequested());
+    }
+
     // Guards against reporting "no such job" from a view that is too old to prove it.
     TEST_F(DispatcherTest, phase_viewTooOld_isNotReadyInsteadOfNoSuchJob)
     {
