Let an entry claim again after a higher claim overtook its own

With every entry in that phase, nobody would own the jobs.

Cause: the claim was complete only when the entry read its own record as the newest.

Evidence: DispatcherTest.claim_followedByHigherClaimBeforeItIsRead_entryCanClaimAgain failed before the change.

--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -215,6 +215,10 @@
     // All records of the former owner precede the claim in the journal, but pages of the newest records are ordered by
     // key, so the claim may be read before them. Waits until the follower has caught up.
     const OwnerRecord& owner = m_registry.owner();
+    if (m_follower.isCaughtUp() && owner.epoch > m_writer.epoch()) {
+        m_writer.close();
+        return handleLoss();
+    }
     if (!m_follower.isCaughtUp() || owner.epoch != m_writer.epoch() || owner.incarnation != m_settings.incarnation)
         return;
     m_phase = Phase::Owner;
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -787,6 +787,23 @@
         EXPECT_EQ(second.sender.acknowledged["host-1"], 1u);
     }
 
+    // Guards against an entry that never stands for the ownership again: its claim was recorded, but a higher one
+    // followed before it had read its own (review).
+    TEST_F(DispatcherTest, claim_followedByHigherClaimBeforeItIsRead_entryCanClaimAgain)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        for (int i = 0; i < 100 && entry.counters.value("ownership_claims") == 0; ++i)
+            run(entry, Duration { 25 });
+        ASSERT_EQ(entry.counters.value("ownership_claims"), 1);
+        ASSERT_FALSE(entry.ownership.isOwner());
+        append(std::string(ownerKey), ownerValue({ 1'000'000, "entry-2", 2, false }));
+        run(entry, Duration { 500 });
+        EXPECT_FALSE(entry.ownership.isOwner());
+        run(entry, Duration { 3500 });
+        EXPECT_TRUE(entry.ownership.isOwner());
+        EXPECT_GT(entry.writer.epoch(), 1'000'000u);
+    }
+
     // Guards against a record that is appended twice or never when the reply of the store is lost.
     TEST_F(DispatcherTest, appendReply_lost_isRetriedWithSameSequence)
     {
