Ignore the shutdown notice of another worker instance

Change: the announcement carries the worker's id, and a notice with another id than the announced one is ignored.

Evidence: HostAgentTest.shutdownNotice_ofFormerInstance_isIgnored. The test does not compile against the former interface, which took no id.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -65,8 +65,10 @@
     return true;
 }
 
-void HostAgent::handleWorkerShutdown()
+void HostAgent::handleWorkerShutdown(const std::string& instance)
 {
+    if (instance != m_announcement.instance)
+        return;
     m_announcement.draining = true;
     report(true);
 }
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -88,8 +88,9 @@
     /// it is ignored then.
     bool handleAnnouncement(const WorkerAnnouncement& announcement);
 
-    /// Handles the worker's notice that it shuts down.
-    void handleWorkerShutdown();
+    /// Handles a worker's notice that it shuts down. A notice of another instance than the announced one is late and is
+    /// ignored.
+    void handleWorkerShutdown(const std::string& instance);
 
     /// Handles a new connection to an owner; sends a full report.
     void handleOwnerConnected();
--- a/src/dispatch/WorkerPort.h
+++ b/src/dispatch/WorkerPort.h
@@ -79,6 +79,7 @@
     Resources capacity;
     bool draining { false };
     int64_t remainingMs { 0 };
+    std::string instance {}; ///< Id of the worker; a restarted worker may have the same one.
 };
 
 } // namespace hemlocklead::dispatch
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -398,6 +398,16 @@
         EXPECT_EQ(lastReport().refusals[0].reason, "draining");
     }
 
+    // Guards against a sound worker that gets no tasks for good because a notice of its predecessor arrives late.
+    TEST_F(HostAgentTest, shutdownNotice_ofFormerInstance_isIgnored)
+    {
+        m_agent.handleAnnouncement({ life, 2, "service", "a", "r1", {}, { 8000, 8000, 0 }, false, 0, "i-2" });
+        m_agent.handleWorkerShutdown("i-1");
+        EXPECT_FALSE(m_agent.isDraining());
+        m_agent.handleWorkerShutdown("i-2");
+        EXPECT_TRUE(m_agent.isDraining());
+    }
+
     // Guards against a delayed announcement that cancels a draining state or reverts to an earlier incarnation.
     TEST_F(HostAgentTest, announcement_outOfOrder_isIgnored)
     {
