Do not send a queued request whose timeout passed during a pause

A start could reach a worker seconds after it was decided: the call waited for a free connection while the process was paused, and was sent on resuming.

Cause: the timeout of a queued request was enforced by a timer only. After a pause the response that frees the connection may be handled before the timer, and timers do not count the suspension of a machine.

Change: when an exchange ends, requests whose timeout has passed on the boot clock are reported as not sent.

Evidence: HttpClientTest.client_pausedPastTimeoutOfQueuedRequest_doesNotSendIt failed without the check (two requests reached the server). Whether it is the cause of the one failure of DataCentreTest.agentPausedAcrossOut_nothingStartsThere is not shown.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -78,6 +78,7 @@
     std::unique_ptr<Timer> timer;
     Duration timeout;
     TimeoutScope scope;
+    Instant expiresAt;
 };
 
 /// Exchange in progress. Has exclusive use of a connection until it ends.
@@ -139,6 +140,7 @@
 
     evhttp_connection* takeConnection();
     void startPending();
+    void dropExpired();
     void exchangeEnded(Exchange* exchange, HttpExchange result, const Callback& callback);
     void freeLater(evhttp_connection* connection);
     void freeRetired();
@@ -146,6 +148,7 @@
     void expirePending(const PendingRequest* pending);
 
     EventLoop& loop;
+    BootClock clock; ///< Counts the time during which the machine is suspended; the timers of the loop do not.
     Address address;
     size_t maxConnections;
     size_t maxResponseBytes;
@@ -289,6 +292,7 @@
     running.remove_if([exchange](const std::unique_ptr<Exchange>& entry) { return entry.get() == exchange; });
     if (!closed)
         callback(std::move(result));
+    dropExpired();
     startPending();
     --callbackDepth;
 }
@@ -311,6 +315,16 @@
         freeLater(connection);
 }
 
+void HttpClient::Core::dropExpired()
+{
+    // After a pause of the process, the turn of a request may come before its timer.
+    const Instant now = clock.now();
+    const auto isExpired = [now](const std::unique_ptr<PendingRequest>& entry) { return now > entry->expiresAt; };
+    for (auto found = std::ranges::find_if(pending, isExpired); found != pending.end();
+         found = std::ranges::find_if(pending, isExpired))
+        expirePending(found->get());
+}
+
 void HttpClient::Core::expirePending(const PendingRequest* dropped)
 {
     const auto found = std::ranges::find_if(
@@ -343,8 +357,8 @@
 
 void HttpClient::send(HttpRequest request, Duration timeout, Callback callback, TimeoutScope scope)
 {
-    auto entry = std::make_unique<PendingRequest>(PendingRequest {
-        std::move(request), std::move(callback), std::make_unique<Timer>(m_core->loop), timeout, scope });
+    auto entry = std::make_unique<PendingRequest>(PendingRequest { std::move(request), std::move(callback),
+        std::make_unique<Timer>(m_core->loop), timeout, scope, m_core->clock.now() + timeout });
     Core* core = m_core.get();
     const PendingRequest* raw = entry.get();
     entry->timer->startOnce(std::max(timeout, Duration { 0 }), [core, raw] { core->expirePending(raw); });
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -36,7 +36,8 @@
     using Callback = std::function<void(HttpExchange)>;
 
     /// Runs at most `maxConnections` exchanges at once; other requests are queued, and their timeout includes the time
-    /// in the queue. A response body over `maxResponseBytes` ends the exchange as `Unknown`.
+    /// in the queue. One whose timeout has passed there is not sent, also after a pause of the process. A response body
+    /// over `maxResponseBytes` ends the exchange as `Unknown`.
     HttpClient(EventLoop& loop, Address address, size_t maxConnections, size_t maxResponseBytes = maxBodyBytes);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -154,6 +154,27 @@
         EXPECT_EQ(send(client, makeRequest()).response.body, "1");
     }
 
+    // Guards against a start order that a worker gets long after it was decided: it waited for a connection while the
+    // process was paused, and was sent on resuming although its timeout had passed.
+    TEST_F(HttpClientTest, client_pausedPastTimeoutOfQueuedRequest_doesNotSendIt)
+    {
+        std::atomic<int> requests { 0 };
+        RawServer server([&](int socket, int) {
+            while (!rawReadMessage(socket).empty()) {
+                ++requests;
+                rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        HttpClient client(m_loop, server.address(), 1);
+        std::optional<HttpExchange> queued;
+        client.send(makeRequest(), Duration { 1500 }, [](const HttpExchange&) { usleep(100'000); });
+        client.send(makeRequest(), Duration { 50 }, [&](HttpExchange exchange) { queued = std::move(exchange); });
+        runFor(Duration { 300 });
+        ASSERT_TRUE(queued);
+        EXPECT_EQ(queued->status, Status::NotSent);
+        EXPECT_EQ(requests, 1);
+    }
+
     // Guards against a large response on a thin link that is abandoned and requested again for good: after a restart,
     // an owner never read the operators' records (review, 656 starts in a closed data centre).
     TEST_F(HttpClientTest, client_responseArrivesSlowly_timeoutLimitsOnlyItsPauses)
