Name epoch, incarnation, order and age in the lines about runs

Now the owner's lines carry its epoch, the incarnation of the worker, the number of the order, whether the run was adopted, and the age of the report and of the clock reading that it concludes from. The agent's lines carry the epoch, connection, order, incarnation and fence. agent_listening names the incarnation of the agent's process, dispatch_begins the wait for leases that a new owner assumes.

No field was renamed or removed.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -58,7 +58,9 @@
     LogEvent(LogLevel::Info, "dispatch_begins")
         .field("epoch", m_writer.epoch())
         .field("open_jobs", static_cast<uint64_t>(m_openJobs.size()))
-        .field("hosts", static_cast<uint64_t>(m_hosts.hosts().size()));
+        .field("hosts", static_cast<uint64_t>(m_hosts.hosts().size()))
+        .field("former_stopped", formerStopped ? 1 : 0)
+        .field("leases_end_ms", static_cast<int64_t>((unlistedEnd - now).count()));
 }
 
 Instant Dispatcher::adoptedLeaseEnd(bool formerStopped) const
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -184,7 +184,9 @@
         .field("attempt", end.attempt)
         .field("reason", end.reason)
         .field("number", end.number)
-        .field("applied", isAwaited ? 1 : 0);
+        .field("applied", isAwaited ? 1 : 0)
+        .field("epoch", m_writer.epoch())
+        .field("life", host.last.life);
     if (!isAwaited)
         return;
     if (end.reason == "done" && fullRunOrderedAt)
@@ -315,7 +317,9 @@
             .field("task", row.task)
             .field("attempt", row.attempt)
             .field("recorded_attempt", task ? task->attempt : 0)
-            .field("recorded_host", task ? task->host : std::string());
+            .field("recorded_host", task ? task->host : std::string())
+            .field("epoch", m_writer.epoch())
+            .field("life", host.last.life);
         return;
     }
     auto run = host.runs.find(row.task);
@@ -383,7 +387,13 @@
         .field("host", host.name)
         .field("task", name)
         .field("attempt", run.attempt)
-        .field("reason", reason);
+        .field("reason", reason)
+        .field("epoch", m_writer.epoch())
+        .field("life", host.last.life)
+        .field("order", run.sequence)
+        .field("adopted", run.stage == HostRun::Stage::Adopted ? 1 : 0)
+        .field("report_age_ms", static_cast<int64_t>((m_clock.now() - host.reportedAt).count()))
+        .field("clock_age_ms", static_cast<int64_t>((m_clock.now() - host.clockReadAt).count()));
     m_counters.add("runs_lost{reason=\"" + std::string(reason) + "\"}");
     Job* job = m_registry.find(run.task.job);
     TaskState* task = job ? job->find(run.task) : nullptr;
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -94,7 +94,11 @@
     if (isStale(orders))
         return false;
     if (orders.epoch > m_epochSeen)
-        LogEvent(LogLevel::Info, "owner_accepted").field("epoch", orders.epoch).field("former", m_epochSeen);
+        LogEvent(LogLevel::Info, "owner_accepted")
+            .field("epoch", orders.epoch)
+            .field("former", m_epochSeen)
+            .field("connection", orders.connection)
+            .field("life", m_life);
     m_epochSeen = orders.epoch;
     m_ownerConnection = orders.connection;
     m_ownerCountsReports |= orders.readsPackedReports;
@@ -146,7 +150,7 @@
     const std::string key = runKey(order.task, order.attempt);
     if (m_pendingStarts.contains(key))
         return;
-    m_pendingStarts.emplace(key, PendingStart { order, m_connection, std::nullopt });
+    m_pendingStarts.emplace(key, PendingStart { order, m_connection, m_epochSeen, m_ownerConnection, std::nullopt });
     noteLeaseGranted();
     m_worker.start(order, m_leaseUntilMs, m_fence, [this, key, life = m_life](const WorkerAnswer& answer) {
         if (life == m_life)
@@ -171,7 +175,14 @@
     }
     // The answer to a poll that was already sent may list the runs as of a time before the start.
     pending->second.lastPollBeforeAnswer = m_pollsSent;
-    LogEvent(LogLevel::Info, "run_started").field("task", order.task).field("attempt", order.attempt);
+    LogEvent(LogLevel::Info, "run_started")
+        .field("task", order.task)
+        .field("attempt", order.attempt)
+        .field("epoch", pending->second.epoch)
+        .field("connection", pending->second.ownerConnection)
+        .field("order", order.sequence)
+        .field("life", m_life)
+        .field("fence", m_fence);
     RunOrder known = order;
     known.payload.clear();
     m_descriptions.insert_or_assign(order.task, std::move(known));
@@ -205,7 +216,11 @@
     LogEvent(LogLevel::Info, "start_refused")
         .field("task", order.task)
         .field("attempt", order.attempt)
-        .field("reason", reason);
+        .field("reason", reason)
+        .field("epoch", m_epochSeen)
+        .field("connection", m_ownerConnection)
+        .field("order", order.sequence)
+        .field("life", m_life);
     m_refusals.push_back({ order.task, order.attempt, reason });
     report(false);
 }
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -109,6 +109,8 @@
     struct PendingStart {
         RunOrder order;
         uint64_t connection { 0 };
+        uint64_t epoch { 0 }; ///< Of the owner that ordered it.
+        uint64_t ownerConnection { 0 }; ///< HostOrders::connection of the order.
 
         /// Number of the last poll that was sent before the worker answered; empty while the order is unanswered.
         std::optional<uint64_t> lastPollBeforeAnswer;
--- a/src/node/DispatchAgent.cpp
+++ b/src/node/DispatchAgent.cpp
@@ -29,6 +29,9 @@
 {
     BOOST_LEAF_CHECK(m_listener.listen(m_settings.listenAddress));
     m_lastOrdersAt = m_clock.now();
+    LogEvent(LogLevel::Info, "agent_listening")
+        .field("address", m_settings.advertisedAddress.text())
+        .field("incarnation", m_incarnation);
     announce();
     m_agent.start();
     m_ownerTimer.startRepeating(m_settings.ownerTimeout, [this] { checkOwner(); });
--- a/src/node/HostLinks.cpp
+++ b/src/node/HostLinks.cpp
@@ -23,6 +23,7 @@
             LogEvent(LogLevel::Warning, "host_link_dropped")
                 .field("host", host)
                 .field("address", link.address)
+                .field("connection", link.number)
                 .field("silent_ms", static_cast<int64_t>((now - link.lastReportAt).count()));
             drop(host, link);
         }
@@ -83,7 +84,11 @@
 void HostLinks::reported(const std::string& host, Link& link, const HostReport& report)
 {
     if (link.lastReportAt == link.openedAt)
-        LogEvent(LogLevel::Info, "host_link_open").field("host", host).field("address", link.address);
+        LogEvent(LogLevel::Info, "host_link_open")
+            .field("host", host)
+            .field("address", link.address)
+            .field("connection", link.number)
+            .field("epoch_seen", report.epochSeen);
     link.lastReportAt = m_clock.now();
     ++link.reportsRead;
     m_dispatcher->hostReported(host, report);
