Make the worker refuse former owners after its agent restarts

Cause: the highest epoch that an agent has obeyed was kept in the memory of its process only. The new owner took one report as proof that the agent obeys no one else: the leases of a host that it lost sight of counted as ended 5.4 s after its own last reading, while the former owner could extend them for up to its authority of 8 s. Everything on that host then ran twice.

Change: the agent's fence begins with the owner's epoch, so the worker, which outlives the agent, refuses the calls of former owners. Reports say whether the worker has accepted the epoch. Until it has, the owner neither declares runs lost because they are not listed nor shortens the wait for the former owner's leases. Agents of earlier builds do not say it: their leases count from the later of both bounds.

Weighed: reading the owner's record whenever an agent starts needs the store at that moment, and a host whose agent restarts during an outage would lose its runs.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -122,7 +122,7 @@
     void markDirty(Job& job) { m_dirtyJobs.insert(job.id()); }
 
     // Handling of host reports (DispatcherReports.cpp).
-    void updateLeaseEnd(HostState& host, const HostReport& report);
+    void updateLeaseEnd(HostState& host);
     void workerLifeChanged(HostState& host, const HostReport& report);
     void applyRefusal(HostState& host, const RunRefusal& refusal);
     void applyEnd(HostState& host, const RunEnd& end);
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -36,20 +36,26 @@
     if (!host.reported && !report.full && !report.silent)
         return;
     const bool stateChanged = report.silent != host.last.silent || report.draining != host.last.draining;
-    updateLeaseEnd(host, report);
-    if (report.life != 0 && report.life != host.last.life)
+    const int64_t formerLife = host.last.life;
+    const bool isNewReading
+        = host.clockReadAt == Instant {} || report.life != formerLife || report.clockMs != host.last.clockMs;
+    if (report.life != 0 && report.life != formerLife)
         workerLifeChanged(host, report);
+    if (report.epochFenced && report.epochSeen == m_writer.epoch())
+        host.fencedLife = report.life;
     host.last = report;
     host.last.running.clear();
     host.last.pending.clear();
     host.last.ends.clear();
     host.last.refusals.clear();
     host.reportedAt = m_clock.now();
+    if (isNewReading)
+        updateLeaseEnd(host);
     for (const RunEnd& end : report.ends)
         applyEnd(host, end);
     for (const RunRefusal& refusal : report.refusals)
         applyRefusal(host, refusal);
-    if (report.lapsed)
+    if (report.lapsed && host.showsAbsence())
         markRunsLost(host, "worker_lapsed");
     else if (report.full && !report.silent)
         reconcile(host, report);
@@ -67,15 +73,14 @@
     }
 }
 
-void Dispatcher::updateLeaseEnd(HostState& host, const HostReport& report)
+void Dispatcher::updateLeaseEnd(HostState& host)
 {
-    const bool isFirstReport = host.clockReadAt == Instant {};
-    if (!isFirstReport && report.life == host.last.life && report.clockMs == host.last.clockMs)
-        return;
-    // The agent obeys only this owner by now. It extends leases only from readings of the worker's clock that this
-    // owner echoes, and neither it nor an earlier process of the agent can have used a later reading than this one.
+    // An agent that obeys this owner extends leases only from readings of the worker's clock that this owner echoes,
+    // and no earlier process of the agent can have used a later reading than this one.
     host.clockReadAt = m_clock.now();
-    host.leaseEnd = host.clockReadAt + m_settings.lease + m_settings.leaseMargin;
+    const Instant ownEnd = host.clockReadAt + m_settings.lease + m_settings.leaseMargin;
+    // Until the worker refuses former owners, a later process of the agent may obey one of them again.
+    host.leaseEnd = host.isFenced() ? ownEnd : std::max(host.leaseEnd, ownEnd);
 }
 
 void Dispatcher::learnInterference(HostState& host, const HostReport& report)
@@ -285,7 +290,7 @@
     for (const RunReport& row : report.running)
         reconcileRun(host, row);
     // A run that is neither listed nor under way has ended. Whether it is lost shows only in the complete list of ends.
-    if (report.hasMoreEnds)
+    if (report.hasMoreEnds || !host.showsAbsence())
         return;
     std::vector<std::string> lost;
     for (const auto& [name, run] : host.runs) {
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/HostAgent.h"
 
 #include "base/Log.h"
+#include "dispatch/OwnerEpoch.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,12 +15,16 @@
     /// An unanswered stop is abandoned after this many tries; the owner repeats it if it is still needed.
     constexpr int maxStopTries = 5;
 
+    /// A fence is the owner's epoch times this, plus a number that rises with each process of the agent.
+    constexpr uint64_t fencesPerEpoch = uint64_t { 1 } << 32;
+
 } // namespace
 
-HostAgent::HostAgent(
-    WorkerPort& worker, ReportSender& sender, Timers& timers, const Clock& clock, Counters& counters, Settings settings)
+HostAgent::HostAgent(WorkerPort& worker, ReportSender& sender, JournalService& journal, Timers& timers,
+    const Clock& clock, Counters& counters, Settings settings)
     : m_worker(worker)
     , m_sender(sender)
+    , m_journal(journal)
     , m_timers(timers)
     , m_clock(clock)
     , m_counters(counters)
@@ -93,13 +98,14 @@
 {
     if (isStale(orders))
         return false;
-    if (orders.epoch > m_epochSeen)
+    if (orders.epoch > m_epochSeen) {
         LogEvent(LogLevel::Info, "owner_accepted")
             .field("epoch", orders.epoch)
             .field("former", m_epochSeen)
             .field("connection", orders.connection)
             .field("life", m_life);
-    m_epochSeen = orders.epoch;
+        acceptEpoch(orders.epoch);
+    }
     m_ownerConnection = orders.connection;
     m_ownerCountsReports |= orders.readsPackedReports;
     m_reportsRead = std::max(m_reportsRead, orders.reportsRead);
@@ -130,6 +136,60 @@
     return true;
 }
 
+void HostAgent::acceptEpoch(uint64_t epoch)
+{
+    m_epochSeen = epoch;
+    m_epochFenced = false;
+    m_epochIsNewest = false;
+    // The worker's clock increases across restarts of the agent, so it yields increasing fences under one epoch.
+    if (m_fence != 0)
+        m_fence = std::max(m_fence, epoch * fencesPerEpoch + static_cast<uint64_t>(workerClockMs()) % fencesPerEpoch);
+    schedulePoll(Duration { 0 });
+}
+
+void HostAgent::raiseFence()
+{
+    const uint64_t lowest = m_epochSeen * fencesPerEpoch;
+    const uint64_t highest = lowest + fencesPerEpoch - 1;
+    if (m_fence == 0) {
+        m_fence = lowest + static_cast<uint64_t>(std::max<int64_t>(m_clockMs, 0)) % (fencesPerEpoch - 1) + 1;
+        return schedulePoll(Duration { 0 });
+    }
+    // Without an owner there is nothing to do on the worker, and the first owner's epoch decides.
+    if (m_epochSeen == 0)
+        return schedulePoll(m_settings.retry);
+    // An earlier process of the agent, or a late call of one, may have used a higher fence under this epoch.
+    if (m_fence < highest) {
+        m_fence = lowest + std::min(2 * (m_fence - lowest) + 1, fencesPerEpoch - 1);
+        return schedulePoll(Duration { 0 });
+    }
+    // The worker has seen a later epoch, or an agent of a build that does not put the epoch into its fences.
+    if (m_epochIsNewest) {
+        m_fence = 2 * m_fence + 1;
+        return schedulePoll(Duration { 0 });
+    }
+    checkEpoch();
+    schedulePoll(m_settings.retry);
+}
+
+void HostAgent::checkEpoch()
+{
+    if (std::exchange(m_isCheckingEpoch, true))
+        return;
+    LogEvent(LogLevel::Warning, "epoch_refused_by_worker").field("epoch", m_epochSeen).field("life", m_life);
+    readOwnerEpoch(
+        m_journal, m_settings.epochCheckTimeout, [this, epoch = m_epochSeen](std::optional<uint64_t> newest) {
+            m_isCheckingEpoch = false;
+            LogEvent(LogLevel::Info, "epoch_checked").field("epoch", epoch).field("newest", newest.value_or(0));
+            if (!newest || epoch != m_epochSeen)
+                return;
+            if (*newest > m_epochSeen)
+                acceptEpoch(*newest);
+            else
+                m_epochIsNewest = true;
+        });
+}
+
 void HostAgent::startRun(const RunOrder& order, Duration orderAge)
 {
     const int64_t leaseLeft = m_leaseUntilMs - workerClockMs();
@@ -270,7 +330,8 @@
     // The worker answers a poll at once while it has unacknowledged ends.
     const Duration maxWait = m_throttle.isPausing() ? m_settings.pollWaitWhilePausing : m_settings.pollWait;
     poll.wait = m_fence != 0 && m_ends.empty() ? maxWait : Duration { 0 };
-    const SentPoll sent { ++m_pollsSent, m_life, m_clock.now(), m_connection, settledOrders() };
+    const SentPoll sent { ++m_pollsSent, m_life, m_clock.now(), m_connection, settledOrders(),
+        m_fence == 0 ? 0 : m_epochSeen };
     m_worker.poll(poll, m_fence, [this, sent](WorkerState state) { handlePollAnswer(std::move(state), sent); });
 }
 
@@ -292,12 +353,9 @@
         beginIncarnation(state.life);
     m_clockMs = state.clockMs;
     m_clockReadAt = m_clock.now();
-    if (m_fence == 0 || state.status == WorkerState::Status::Fenced) {
-        // The worker's clock increases across restarts of the agent, so it yields increasing fences. A late call may
-        // have left a higher fence from an earlier incarnation of the worker; doubling eventually exceeds it.
-        m_fence = std::max<uint64_t>(static_cast<uint64_t>(std::max<int64_t>(state.clockMs, 0)) + 1, 2 * m_fence + 1);
-        return schedulePoll(Duration { 0 });
-    }
+    if (m_fence == 0 || state.status == WorkerState::Status::Fenced)
+        return raiseFence();
+    m_epochFenced = m_epochSeen != 0 && sent.epoch == m_epochSeen;
     if (m_unansweredPolls >= m_settings.pollsUntilSilent)
         LogEvent(LogLevel::Info, "worker_reached").field("life", m_life);
     m_unansweredPolls = 0;
@@ -369,6 +427,7 @@
     m_acknowledgedEnds = 0;
     m_running.clear();
     m_hasReadRuns = false;
+    m_epochFenced = false;
     m_hasMoreEnds = false;
     m_ends.clear();
     m_pendingStarts.clear();
@@ -442,6 +501,8 @@
     message.refusesBestEffort = m_throttle.refusesBestEffort(m_clock.now());
     message.full = full && m_life != 0 && m_hasReadRuns && !message.silent;
     message.hasMoreEnds = m_hasMoreEnds;
+    message.fencesEpochs = true;
+    message.epochFenced = m_epochFenced;
     message.settledOrders = m_settledOrders;
     if (message.full) {
         for (const WorkerRun& run : m_running)
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -20,7 +20,9 @@
 /// Carries out the owner's orders on one worker and reports to the owner what runs there.
 ///
 /// It obeys only the highest owner epoch that it has seen, and of that owner only the newest connection: from a report
-/// on that one the owner may conclude that orders on an earlier one will not be carried out any more. It extends the
+/// on that one the owner may conclude that orders on an earlier one will not be carried out any more. Its fence begins
+/// with the epoch, so the worker refuses the calls of former owners also after the agent has restarted and forgotten
+/// which epochs it has seen. It extends the
 /// worker's leases only up to a fixed time after the reading of the worker's clock that the owner has echoed. It
 /// reports a start as refused only when the run can no longer start.
 class HostAgent {
@@ -65,6 +67,9 @@
         /// a connection without reports for 2 s.
         Duration maxReportDelay { 1000 };
 
+        /// Time for the answer when the newest epoch is read from the journal, and delay before it is read again.
+        Duration epochCheckTimeout { 1000 };
+
         /// Delay before an unanswered stop is repeated.
         Duration stopRetry { 400 };
 
@@ -77,8 +82,9 @@
         ThrottleController::Settings throttle {};
     };
 
-    HostAgent(WorkerPort& worker, ReportSender& sender, Timers& timers, const Clock& clock, Counters& counters,
-        Settings settings);
+    /// `journal` is read only when the worker refuses every fence of the owner's epoch.
+    HostAgent(WorkerPort& worker, ReportSender& sender, JournalService& journal, Timers& timers, const Clock& clock,
+        Counters& counters, Settings settings);
     HostAgent(const HostAgent&) = delete;
     HostAgent& operator=(const HostAgent&) = delete;
 
@@ -123,6 +129,7 @@
         Instant sentAt;
         uint64_t connection;
         uint64_t settledOrders;
+        uint64_t epoch; ///< Of the fence that it carries.
     };
 
     void poll();
@@ -130,6 +137,9 @@
     void schedulePoll(Duration delay);
     void applyState(WorkerState& state, const SentPoll& sent);
     void beginIncarnation(int64_t life);
+    void acceptEpoch(uint64_t epoch);
+    void raiseFence();
+    void checkEpoch();
     void handleUnansweredPoll();
     Instant leaseEndAfter(Duration workerTime) const;
     void noteLeaseGranted();
@@ -148,6 +158,7 @@
 
     WorkerPort& m_worker;
     ReportSender& m_sender;
+    JournalService& m_journal;
     Timers& m_timers;
     const Clock& m_clock;
     Counters& m_counters;
@@ -166,6 +177,9 @@
     bool m_isNextReportFull { false };
 
     uint64_t m_fence { 0 }; ///< 0 until the worker's clock is known.
+    bool m_epochFenced { false }; ///< The worker has accepted a fence of `m_epochSeen` in its current incarnation.
+    bool m_epochIsNewest { false }; ///< According to the journal, no owner has followed the one with `m_epochSeen`.
+    bool m_isCheckingEpoch { false };
     int64_t m_life { 0 };
     int64_t m_clockMs { 0 };
     Instant m_clockReadAt {};
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -60,6 +60,9 @@
     Instant clockReadAt {}; ///< When the newest reading of the worker's clock arrived; leases count from a reading.
     Instant leaseEnd {}; ///< All leases on the host's worker have expired after this.
     HostReport last; ///< The last report, without its lists.
+    /// Incarnation of the worker that refuses the calls of all former owners; 0 if none is known to. As long as this is
+    /// not known, a former owner may extend leases and order starts there through another process of the agent.
+    int64_t fencedLife { 0 };
     Resources reserved;
     Resources longRunningReserved; ///< The part of `reserved` that long-running tasks hold.
     /// Kept from younger long-running tasks, for older ones that do not fit yet. Set anew in each scheduling cycle.
@@ -80,6 +83,14 @@
     HostOrders outbox; ///< Content of the next message.
     Instant orderedAt {}; ///< When the last message was sent.
 
+    /// Whether only this owner can act on the worker, according to the reports so far. A worker that has not answered
+    /// the agent's present process has no known incarnation, and is the one known before.
+    bool isFenced() const { return fencedLife != 0 && (last.life == 0 || last.life == fencedLife); }
+
+    /// Whether the absence of a run from a report shows that it does not exist. Agents of earlier builds do not say
+    /// whether the worker refuses former owners.
+    bool showsAbsence() const { return isFenced() || !last.fencesEpochs; }
+
     Resources free() const { return last.capacity - reserved; }
 
     /// Resources that a new task may reserve. Negative while runs use what is held for other tasks.
--- a/src/node/DispatchAgent.cpp
+++ b/src/node/DispatchAgent.cpp
@@ -19,7 +19,7 @@
     , m_incarnation(randomIncarnation())
     , m_timers(loop)
     , m_journal(journal)
-    , m_agent(worker, *this, m_timers, m_clock, m_counters, m_settings.agent)
+    , m_agent(worker, *this, journal, m_timers, m_clock, m_counters, m_settings.agent)
     , m_listener(loop, [this](std::unique_ptr<FrameConnection> connection) { accepted(std::move(connection)); })
     , m_ownerTimer(loop)
 {
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -96,6 +96,8 @@
     bool refusesBestEffort { false }; ///< The agent would refuse or pause a best-effort task that starts now.
     bool full { false }; ///< `running` and `pending` are complete.
     bool hasMoreEnds { false }; ///< `ends` is incomplete: the worker lists a limited number of ends at a time.
+    bool fencesEpochs { false }; ///< The agent makes the worker refuse former owners; earlier builds do not.
+    bool epochFenced { false }; ///< The worker refuses the calls of all owners before `epochSeen`.
     uint64_t settledOrders { 0 }; ///< Orders up to this one were carried out or refused before `running` was read.
     std::vector<RunReport> running;
     std::vector<RunReport> pending;
--- a/tests/support/ManualTimers.h
+++ b/tests/support/ManualTimers.h
@@ -20,6 +20,9 @@
         m_calls.emplace(m_clock.now() + delay, std::move(call));
     }
 
+    /// Discards all calls, as the end of their process does.
+    void clear() { m_calls.clear(); }
+
     /// Advances the clock by `time` in steps of a millisecond and runs the calls that are due.
     void run(Duration time)
     {
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -152,6 +152,41 @@
             append(jobKey(id), jobValue(policy, spec));
         }
 
+        /// Advances the time while `host` reports every 100 ms.
+        void runConnected(Entry& entry, const std::string& host, Duration time)
+        {
+            if (!entry.registry.hosts().contains(host))
+                return;
+            connect(entry, host);
+            for (Duration passed { 0 }; passed < time; passed += Duration { 100 }) {
+                run(entry, Duration { 100 });
+                entry.dispatcher.hostReported(host, reportOf(host));
+            }
+        }
+
+        /// Places the task job.0.0.0 on host-1 as one owner, makes `second` the next one, which does not know whether
+        /// the former one has ended, and lets host-1 report to it once before it is lost.
+        void takeOverRun(Entry& second, bool epochFenced)
+        {
+            Entry first("entry-1", m_journal, m_timers, m_clock);
+            becomeOwner(first);
+            connect(first, "host-1");
+            submit("job", { step(1, 1000) });
+            run(first, Duration { 150 });
+            ASSERT_EQ(first.sender.starts.size(), 1u);
+            run(second, Duration { 2600 });
+            ASSERT_TRUE(second.ownership.isOwner());
+            HostReport report = reportOf("host-1");
+            report.epochSeen = second.writer.epoch();
+            report.fencesEpochs = true;
+            report.epochFenced = epochFenced;
+            report.running = { { "job.0.0.0", 1, "", 50 } };
+            second.dispatcher.hostConnected("host-1");
+            second.dispatcher.hostReported("host-1", report);
+            run(second, Duration { 100 });
+            second.dispatcher.hostDisconnected("host-1");
+        }
+
         /// Makes `entry` the owner and places the task job.0.0.0, a best-effort one, on host-1.
         void placeBestEffortTask(Entry& entry, bool checkpoints)
         {
@@ -294,6 +329,53 @@
         EXPECT_EQ(entry.sender.starts[1].second.attempt, 2u);
     }
 
+    // Guards against two runs at once of all tasks of a host: its agent reported to the new owner and restarted, and
+    // the former owner, which the new one cannot see, extended the leases through the new process (issue 31).
+    TEST_F(DispatcherTest, hostLost_workerNotKnownToRefuseFormerOwner_tasksWaitForTheFormerOwnersLeases)
+    {
+        Entry second("entry-2", m_journal, m_timers, m_clock);
+        takeOverRun(second, false);
+        // The former owner's last record is 2.4 s old: it may extend leases for another 5.6 s.
+        runConnected(second, "host-2", Duration { 10'000 });
+        EXPECT_TRUE(second.sender.starts.empty());
+        runConnected(second, "host-2", Duration { 2000 });
+        ASSERT_EQ(second.sender.starts.size(), 1u);
+        EXPECT_EQ(second.sender.starts[0].first, "host-2");
+    }
+
+    // Guards against a wait for the former owner's leases on a host whose worker refuses the former owner.
+    TEST_F(DispatcherTest, hostLost_workerRefusesFormerOwner_tasksRestartAfterOwnLeases)
+    {
+        Entry second("entry-2", m_journal, m_timers, m_clock);
+        takeOverRun(second, true);
+        runConnected(second, "host-2", Duration { 6000 });
+        ASSERT_EQ(second.sender.starts.size(), 1u);
+        EXPECT_EQ(second.sender.starts[0].first, "host-2");
+    }
+
+    // Guards against a run that a former owner's order starts after the new owner has declared it lost: until the
+    // worker refuses the former owner, a report without the run proves nothing.
+    TEST_F(DispatcherTest, report_workerNotKnownToRefuseFormerOwner_declaresNoRunLost)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { step(1, 1000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        HostReport report = reportOf("host-1");
+        report.settledOrders = 1;
+        report.fencesEpochs = true;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 300 });
+        EXPECT_EQ(entry.sender.starts.size(), 1u);
+        report.epochSeen = entry.writer.epoch();
+        report.epochFenced = true;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 300 });
+        EXPECT_EQ(entry.sender.starts.size(), 2u);
+    }
+
     // Guards against runs that stay assigned for good to a worker that was lost before its agent restarted: the agent
     // is connected but never learns the worker's incarnation (review, case 1: lasting tasks never ran again). The
     // leases count from the last reading of the worker's clock, however often the owner has repeated it.
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/HostAgent.h"
+#include "dispatch/JobRegistry.h"
 #include "support/ManualTimers.h"
+#include "support/MemoryJournal.h"
 
 #include <gtest/gtest.h>
 
@@ -58,6 +60,65 @@
         std::vector<Poll> polls;
     };
 
+    /// Worker that remembers the highest fence, like the one on the agent's host, and outlives the agent.
+    class FencingWorker final : public WorkerPort {
+    public:
+        explicit FencingWorker(const Clock& clock)
+            : m_clock(clock)
+        {
+        }
+
+        void start(const RunOrder& order, int64_t, uint64_t fence, std::function<void(WorkerAnswer)> done) override
+        {
+            if (isRefused(fence))
+                return done({ WorkerAnswer::Status::Refused, "fence" });
+            running.push_back({ { order.task, order.attempt, "", 0 }, 0 });
+            done({ WorkerAnswer::Status::Done, {} });
+        }
+
+        void stop(const RunStop& stop, uint64_t fence, std::function<void(WorkerAnswer)> done) override
+        {
+            if (isRefused(fence))
+                return done({ WorkerAnswer::Status::Refused, "fence" });
+            std::erase_if(running, [&](const WorkerRun& run) { return run.report.task == stop.task; });
+            done({ WorkerAnswer::Status::Done, {} });
+        }
+
+        void setSpeed(const RunStop&, int64_t, uint64_t, std::function<void(WorkerAnswer)> done) override
+        {
+            done({ WorkerAnswer::Status::Done, {} });
+        }
+
+        void poll(const WorkerPoll& poll, uint64_t fence, std::function<void(WorkerState)> done) override
+        {
+            ++polls;
+            WorkerState state { WorkerState::Status::Fenced, life, m_clock.now().time_since_epoch().count(), {}, {} };
+            if (!isRefused(fence)) {
+                state.status = WorkerState::Status::Ok;
+                state.running = running;
+                leaseUntilMs = std::max(leaseUntilMs, poll.leaseUntilMs.value_or(0));
+            }
+            done(std::move(state));
+        }
+
+        bool isRefused(uint64_t fence)
+        {
+            if (fence < highestFence)
+                return true;
+            highestFence = fence;
+            return false;
+        }
+
+        static constexpr int64_t life = 1'000'000;
+        uint64_t highestFence { 0 };
+        int64_t leaseUntilMs { 0 };
+        int polls { 0 };
+        std::vector<WorkerRun> running;
+
+    private:
+        const Clock& m_clock;
+    };
+
     class RecordedReports final : public ReportSender {
     public:
         void send(const HostReport& report) override { reports.push_back(report); }
@@ -133,7 +194,8 @@
         DeferredWorker m_worker;
         RecordedReports m_sender;
         Counters m_counters;
-        HostAgent m_agent { m_worker, m_sender, m_timers, m_clock, m_counters, { .host = "host-1" } };
+        MemoryJournal m_journal;
+        HostAgent m_agent { m_worker, m_sender, m_journal, m_timers, m_clock, m_counters, { .host = "host-1" } };
     };
 
     // Guards against a start after the bound on cancellations, and against a second run of a task that the owner has
@@ -158,7 +220,7 @@
     {
         DeferredWorker worker;
         RecordedReports sender;
-        HostAgent agent(worker, sender, m_timers, m_clock, m_counters, { .host = "host-1" });
+        HostAgent agent(worker, sender, m_journal, m_timers, m_clock, m_counters, { .host = "host-1" });
         agent.start();
         worker.polls.back().done({ WorkerState::Status::Ok, life, workerClock(), {}, {} });
         agent.handleOwnerConnected();
@@ -270,6 +332,125 @@
         EXPECT_FALSE(lastReport().hasMoreEnds);
     }
 
+    /// One process of an agent after the other, on the same worker.
+    class RestartedAgentTest : public testing::Test {
+    protected:
+        /// Starts a process of the agent; the one before has ended.
+        void startAgent()
+        {
+            m_agent = std::make_unique<HostAgent>(
+                m_worker, m_sender, m_journal, m_timers, m_clock, m_counters, HostAgent::Settings { .host = "host-1" });
+            m_agent->start();
+            m_timers.run(Duration { 50 });
+            m_agent->handleAnnouncement(
+                { FencingWorker::life, 1, "service", "a", "r1", {}, { 8000, 8000, 0 }, false, 0 });
+        }
+
+        void endAgent()
+        {
+            m_timers.clear();
+            m_agent.reset();
+        }
+
+        /// Connects the owner with that epoch, which sends orders to extend the lease and to start `task`, if not
+        /// empty.
+        bool order(uint64_t epoch, const std::string& task)
+        {
+            m_agent->handleOwnerConnected();
+            HostOrders orders;
+            orders.epoch = epoch;
+            m_agent->handleOrders(orders);
+            m_timers.run(Duration { 50 });
+            orders.life = FencingWorker::life;
+            orders.echoMs = m_clock.now().time_since_epoch().count();
+            if (!task.empty()) {
+                orders.starts.emplace_back().sequence = 1;
+                orders.starts[0].task = task;
+                orders.starts[0].attempt = 1;
+            }
+            const bool accepted = m_agent->handleOrders(orders);
+            m_timers.run(Duration { 600 });
+            return accepted;
+        }
+
+        void recordOwner(uint64_t epoch)
+        {
+            m_journal.append({ { std::string(ownerKey), ownerValue({ epoch, "entry-1", 1 }), 0 } }, std::nullopt,
+                Duration { 0 }, [](AppendStatus) {});
+        }
+
+        ManualClock m_clock;
+        ManualTimers m_timers { m_clock };
+        FencingWorker m_worker { m_clock };
+        MemoryJournal m_journal;
+        RecordedReports m_sender;
+        Counters m_counters;
+        std::unique_ptr<HostAgent> m_agent;
+    };
+
+    // Guards against two runs at once of all tasks of a host: a restarted agent had forgotten the newest owner's epoch,
+    // and the former owner extended leases that the newest one took to have ended (issue 31).
+    TEST_F(RestartedAgentTest, formerOwner_ordersAfterAgentRestart_startsAndExtendsNothing)
+    {
+        recordOwner(7000);
+        recordOwner(9000);
+        startAgent();
+        EXPECT_TRUE(order(7000, ""));
+        EXPECT_TRUE(order(9000, "job.0.0.0"));
+        ASSERT_EQ(m_worker.running.size(), 1u);
+        EXPECT_TRUE(m_sender.reports.back().epochFenced);
+        const int64_t leaseUntilMs = m_worker.leaseUntilMs;
+        endAgent();
+
+        startAgent();
+        order(7000, "job.0.0.1");
+        EXPECT_EQ(m_worker.running.size(), 1u);
+        EXPECT_EQ(m_worker.leaseUntilMs, leaseUntilMs);
+        EXPECT_EQ(m_agent->epochSeen(), 9000u);
+
+        EXPECT_TRUE(order(9000, "job.0.0.2"));
+        EXPECT_EQ(m_worker.running.size(), 2u);
+        EXPECT_TRUE(m_sender.reports.back().full);
+        EXPECT_GT(m_worker.leaseUntilMs, leaseUntilMs);
+    }
+
+    // Guards against a former owner that is obeyed because the store cannot be asked which owner is the newest.
+    TEST_F(RestartedAgentTest, formerOwner_ordersAfterAgentRestartWithoutStore_startsNothing)
+    {
+        startAgent();
+        EXPECT_TRUE(order(9000, "job.0.0.0"));
+        endAgent();
+
+        m_journal.mode = MemoryJournal::Mode::Refusing;
+        startAgent();
+        order(7000, "job.0.0.1");
+        EXPECT_EQ(m_worker.running.size(), 1u);
+        EXPECT_TRUE(order(9000, "job.0.0.2"));
+        EXPECT_EQ(m_worker.running.size(), 2u);
+    }
+
+    // Guards against a host that is lost for good after its agent ran an earlier build for a while: that build raises
+    // its fence without regard to epochs.
+    TEST_F(RestartedAgentTest, newestOwner_fenceOfEarlierBuildIsHigher_isObeyedOnceTheJournalConfirmsIt)
+    {
+        recordOwner(9000);
+        m_worker.highestFence = uint64_t { 30'000 } << 32;
+        startAgent();
+        order(9000, "");
+        EXPECT_TRUE(order(9000, "job.0.0.0"));
+        EXPECT_EQ(m_worker.running.size(), 1u);
+    }
+
+    // Guards against an agent that polls its worker without a pause while it has no owner.
+    TEST_F(RestartedAgentTest, agentWithoutOwner_workerHasSeenAnOwner_pollsAtTheRetryInterval)
+    {
+        m_worker.highestFence = uint64_t { 9000 } << 32;
+        startAgent();
+        m_worker.polls = 0;
+        m_timers.run(Duration { 1000 });
+        EXPECT_LE(m_worker.polls, 5);
+    }
+
     // Guards against a start that was ordered for one incarnation of the worker and is carried out by the next one. The
     // owner assumes that nothing runs there and starts the task a second time (soak seed 29, second finding: two runs
     // of each of three tasks).
@@ -475,7 +656,7 @@
     {
         DeferredWorker worker;
         RecordedReports sender;
-        HostAgent agent(worker, sender, m_timers, m_clock, m_counters, { .host = "host-1" });
+        HostAgent agent(worker, sender, m_journal, m_timers, m_clock, m_counters, { .host = "host-1" });
         agent.start();
         agent.handleOwnerConnected();
         const auto stayUnanswered = [&](Duration time) {
--- a/tests/unit/ThinLinkTest.cpp
+++ b/tests/unit/ThinLinkTest.cpp
@@ -178,7 +178,7 @@
                 : site(parent)
                 , name(std::move(hostName))
                 , worker(parent.m_timers, parent.m_clock)
-                , agent(worker, *this, parent.m_timers, parent.m_clock, counters, { .host = name })
+                , agent(worker, *this, parent.m_client, parent.m_timers, parent.m_clock, counters, { .host = name })
             {
                 agent.start();
                 parent.m_timers.run(Duration { 10 });
