Confirm the ownership before an end is acknowledged

What callers could see: a finished task runs again.

Cause: a commit without records took effect at once. An owner that has been replaced does not know its successor's runs, so their ends change nothing for it, and it acknowledged them without an append that the store would have fenced. The worker then discards the end, and the successor finds a run that is neither listed nor ended.

Change: a commit that acknowledges ends and has nothing else to record appends the owner's record.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -254,6 +254,10 @@
     }
     removeExpiredJobs(records);
     listLeases(records, commit);
+    // A worker discards an end once it is acknowledged. An owner that has been replaced does not know its successor's
+    // runs and has nothing to record about their ends, so an append has to confirm that it is still the owner.
+    if (records.empty() && !commit.acks.empty())
+        records.push_back({ std::string(ownerKey), ownerValue(m_registry.owner()), 0 });
     if (records.empty())
         return onCommitDurable(commit);
     for (const PendingStart& start : commit.starts) {
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -259,6 +259,27 @@
         EXPECT_EQ(entry.registry.find("job")->publishedPhase(), JobPhase::Completed);
     }
 
+    // Guards against a finished task that runs again: an owner that had been replaced acknowledged the end of a run that
+    // it did not know, since it had nothing to record (issue 31).
+    TEST_F(DispatcherTest, endOfUnknownRun_ownershipNotConfirmed_isNotAcknowledged)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        run(entry, Duration { 1000 });
+        m_journal.mode = MemoryJournal::Mode::Refusing;
+        HostReport report = reportOf("host-1");
+        report.ends = { { 1, "other.0.0.0", 1, "done", "" } };
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 500 });
+        EXPECT_EQ(entry.sender.acknowledged["host-1"], 0u);
+
+        m_journal.mode = MemoryJournal::Mode::Normal;
+        run(entry, Duration { 1500 });
+        EXPECT_EQ(entry.sender.acknowledged["host-1"], 1u);
+        EXPECT_TRUE(entry.ownership.isOwner());
+    }
+
     // Guards against a step that starts before all tasks of the step it depends on are done.
     TEST_F(DispatcherTest, step_withDependency_waitsForAllItsTasks)
     {
