Count the authority of an owner from the first try of an append

What callers could see: an owner that has been replaced extends leases for longer than its successor waits.

Cause: the store answers a repeated append with the outcome of the first one. The writer took the time of the repeat as the time as of which the store had seen no higher epoch, although a claim may have come between the two.

Change: after a try without an answer, a successful repeat confirms the epoch as of that try. A try that the store refused does not count.

--- a/src/dispatch/JournalWriter.cpp
+++ b/src/dispatch/JournalWriter.cpp
@@ -41,6 +41,7 @@
     m_inFlight = true;
     ++m_sequence;
     m_retryDelay = m_settings.retry;
+    m_mayBeRecordedSince.reset();
     m_records = std::move(records);
     m_onDurable = std::move(onDurable);
     send();
@@ -60,7 +61,8 @@
 {
     if (status == AppendStatus::Done) {
         m_inFlight = false;
-        m_epochConfirmedAt = sentAt;
+        // The store answers a repeat with the outcome of the append that it recorded, whatever has followed since.
+        m_epochConfirmedAt = m_mayBeRecordedSince.value_or(sentAt);
         // Four times the time that this answer took leaves room for the next one to take longer.
         m_timeout = std::clamp(4 * (m_clock.now() - sentAt), m_settings.timeout, m_settings.maxTimeout);
         m_records.clear();
@@ -76,8 +78,11 @@
         close();
         return onFenced();
     }
-    if (status == AppendStatus::Unknown)
+    if (status == AppendStatus::Unknown) {
         m_timeout = std::min(2 * m_timeout, m_settings.maxTimeout);
+        if (!m_mayBeRecordedSince)
+            m_mayBeRecordedSince = sentAt;
+    }
     // Repeats the append with the same sequence number; if the first append was recorded, the store answers with its
     // outcome and does not record it again.
     LogEvent(LogLevel::Warning, "append_unanswered")
--- a/src/dispatch/JournalWriter.h
+++ b/src/dispatch/JournalWriter.h
@@ -36,7 +36,8 @@
 
     uint64_t epoch() const { return m_epoch; }
 
-    /// When the last successful append was sent; the store had seen no higher epoch before that.
+    /// When the last successful append was first sent without being refused; the store had seen no higher epoch before
+    /// that.
     Instant epochConfirmedAt() const { return m_epochConfirmedAt; }
 
 private:
@@ -57,6 +58,8 @@
     Duration m_timeout { 0 }; ///< For the next append.
     std::vector<JournalRecord> m_records;
     std::function<void()> m_onDurable;
+    /// When the append in flight was first sent without an answer; the store may have recorded it then.
+    std::optional<Instant> m_mayBeRecordedSince;
     Instant m_epochConfirmedAt {};
 };
 
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -924,6 +924,26 @@
         EXPECT_EQ(m_journal.size(), recorded);
     }
 
+    // Guards against an owner that takes the answer to a repeated append as proof that it still owned the jobs when it
+    // sent the repeat: the store answers with the outcome of the first append, which preceded the successor's claim.
+    TEST_F(DispatcherTest, appendReply_lostAndRepeatedLater_confirmsTheEpochOnlyAsOfTheFirstTry)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        run(entry, Duration { 500 });
+        m_journal.mode = MemoryJournal::Mode::LosingAnswers;
+        submit("job", { step(1, 1000) });
+        connect(entry, "host-1");
+        run(entry, Duration { 100 });
+        const Instant lostBefore = m_clock.now();
+        m_journal.mode = MemoryJournal::Mode::Refusing;
+        run(entry, Duration { 4000 });
+        m_journal.mode = MemoryJournal::Mode::Normal;
+        while (!entry.writer.isIdle())
+            m_timers.run(Duration { 1 });
+        EXPECT_LE(entry.writer.epochConfirmedAt(), lostBefore);
+    }
+
     // Guards against an owner without access to the store that renews leases which its successor considers expired.
     TEST_F(DispatcherTest, owner_disconnectedFromStore_renewsNoLeaseAfterAuthority)
     {
