--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(JobRegistry& registry, JournalWriter& writer, OrderSender& sender, const Clock& clock,
-    const WallClock& wallClock, Counters& counters, Settings settings)
+Dispatcher::Dispatcher(JobRegistry& registry, const JournalFollower& follower, JournalWriter& writer,
+    OrderSender& sender, const Clock& clock, const WallClock& wallClock, Counters& counters, Settings settings)
     : m_registry(registry)
+    , m_follower(follower)
     , m_writer(writer)
     , m_sender(sender)
     , m_clock(clock)
@@ -120,6 +121,7 @@
     m_dirtyJobs.clear();
     m_pendingAcks.clear();
     m_pendingStarts.clear();
+    m_durableStarts.clear();
     m_listedHosts.clear();
     m_hasRecordedLeases = false;
     m_endedJobs.clear();
@@ -289,8 +291,33 @@
         if (host && host->last.life == ack.life)
             host->endsDurable = std::max(host->endsDurable, ack.number);
     }
-    for (const PendingStart& start : commit.starts)
-        queueStartOrder(start);
+    m_durableStarts.insert(m_durableStarts.end(), commit.starts.begin(), commit.starts.end());
+}
+
+bool Dispatcher::isViewFresh() const
+{
+    return m_follower.isCaughtUp() && m_clock.now() - m_follower.freshAsOf() <= m_settings.maxViewAge;
+}
+
+Duration Dispatcher::startValidity(const HostState& host) const
+{
+    // The agent counts from the reading of the worker's clock, which is at least as old as the report that brought it.
+    return m_follower.freshAsOf() + m_settings.startValidity - host.clockReadAt;
+}
+
+void Dispatcher::queueStartOrders()
+{
+    if (!isViewFresh())
+        return;
+    std::vector<PendingStart> listed;
+    for (const PendingStart& start : std::exchange(m_durableStarts, {})) {
+        // No message is sent to a listed host yet.
+        if (m_listedHosts.contains(start.host))
+            listed.push_back(start);
+        else
+            queueStartOrder(start);
+    }
+    m_durableStarts.insert(m_durableStarts.end(), listed.begin(), listed.end());
 }
 
 void Dispatcher::queueStartOrder(const PendingStart& start)
@@ -306,6 +333,9 @@
         = host.connected && host.reported && !host.last.draining && !m_closedDataCentres.contains(host.last.dataCentre);
     if (!isNeeded || !reachable)
         return markRunLost(host, name, isNeeded ? "host_left_before_order" : "not_wanted");
+    // The order would be carried out by the incarnation that is known now, but the record names the one before.
+    if (job->find(start.task)->life != host.last.life)
+        return markRunLost(host, name, "worker_restarted");
     run->second.stage = HostRun::Stage::Ordered;
     if (job->find(start.task)->checkpoint.empty())
         run->second.fullRunOrderedAt = m_clock.now();
@@ -353,6 +383,7 @@
     const Instant now = m_clock.now();
     if (now - m_writer.epochConfirmedAt() > m_settings.authority)
         return;
+    queueStartOrders();
     for (auto& [name, host] : m_hosts.hosts()) {
         if (!host.connected || !host.reported || m_listedHosts.contains(name))
             continue;
@@ -363,6 +394,7 @@
         orders.life = host.last.life;
         orders.echoMs = host.last.clockMs;
         orders.acknowledgedEnds = host.endsDurable;
+        orders.startsValidMs = startValidity(host).count();
         host.outbox.acknowledgedEnds = host.endsDurable;
         host.orderedAt = now;
         for (HostOrders& message : splitOrders(std::move(orders), m_settings.maxMessageBytes))
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -31,7 +31,8 @@
 /// The scheduler of the owner: places tasks on hosts, handles the ends of runs and declares runs lost.
 ///
 /// A start is ordered, and an end is acknowledged, only after it has been recorded in the journal. The next owner
-/// therefore knows every run that may exist.
+/// therefore knows every run that may exist. A start is also ordered only while the owner's view of the journal is
+/// recent, since another entry may have acknowledged a cancellation of the job meanwhile.
 class Dispatcher final : public JobRegistryListener {
 public:
     struct Settings {
@@ -41,6 +42,12 @@
         /// A host without a report for this long is recorded as one whose leases the owner does not extend. The last
         /// lease then ends soon, so a host that is back does not depend on the store for its next one.
         Duration listLeasesAfter { 3000 };
+        /// Starts are ordered only while the view of the journal is no older than this. While the journal is idle, a
+        /// read of it waits for up to a second.
+        Duration maxViewAge { 1500 };
+        /// A start order is valid until this long after the time as of which the owner has read the journal: less than
+        /// the users' bound from an acknowledged cancellation to the last start, 3 s.
+        Duration startValidity { 2900 };
         Duration keepaliveInterval { 400 }; ///< Longest interval between two messages to a host.
         Duration maxReportAge { 1500 }; ///< A host whose last report is older gets no new runs.
         Duration stopRetryInterval { 600 }; ///< Interval at which a stop is repeated until the run has ended.
@@ -61,8 +68,8 @@
         size_t maxMessageBytes { 500'000 }; ///< Soft limit of one message to a host; a connection carries 4 MiB.
     };
 
-    Dispatcher(JobRegistry& registry, JournalWriter& writer, OrderSender& sender, const Clock& clock,
-        const WallClock& wallClock, Counters& counters, Settings settings);
+    Dispatcher(JobRegistry& registry, const JournalFollower& follower, JournalWriter& writer, OrderSender& sender,
+        const Clock& clock, const WallClock& wallClock, Counters& counters, Settings settings);
     Dispatcher(const Dispatcher&) = delete;
     Dispatcher& operator=(const Dispatcher&) = delete;
 
@@ -159,13 +166,17 @@
     void startTask(Job& job, const TaskId& id, TaskState& task, const HostState& host);
     void commit();
     void onCommitDurable(const Commit& commit);
+    bool isViewFresh() const;
+    void queueStartOrders();
     void queueStartOrder(const PendingStart& start);
+    Duration startValidity(const HostState& host) const;
     void removeExpiredJobs(std::vector<JournalRecord>& records);
     void sendOrders();
     void sampleServiceLevels();
     static RunOrder makeRunOrder(const Job& job, const TaskId& id, const TaskState& task);
 
     JobRegistry& m_registry;
+    const JournalFollower& m_follower;
     JournalWriter& m_writer;
     OrderSender& m_sender;
     const Clock& m_clock;
@@ -186,7 +197,8 @@
     std::set<std::string> m_openJobs; ///< Jobs that have not ended.
     std::set<std::string> m_dirtyJobs; ///< Jobs whose state has changed since their last record.
     std::vector<EndAck> m_pendingAcks; ///< Acknowledged after the next commit.
-    std::vector<PendingStart> m_pendingStarts; ///< Ordered after the next commit.
+    std::vector<PendingStart> m_pendingStarts; ///< Recorded with the next commit.
+    std::vector<PendingStart> m_durableStarts; ///< Recorded, and ordered with the next message to their host.
     std::set<std::string> m_listedHosts; ///< Hosts in the newest list of leases or in the one that is being recorded.
     bool m_hasRecordedLeases { false }; ///< This owner's first list is recorded.
     std::map<std::string, Instant> m_endedJobs; ///< When each ended job ended, until its records are removed.
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -117,10 +117,14 @@
         m_throttle.setInterference(pair.serving, pair.filling, pair.takenPerCore);
     for (const RunOrder& known : orders.known)
         m_descriptions.insert_or_assign(known.task, known);
+    const Duration maxAge = orders.startsValidMs > 0
+        ? std::min(m_settings.maxOrderAge, Duration { orders.startsValidMs })
+        : m_settings.maxOrderAge;
+    const bool areLate = Duration { workerClockMs() - orders.echoMs } > maxAge;
     for (const RunOrder& order : orders.starts) {
         m_highestOrder = std::max(m_highestOrder, order.sequence);
         if (sameLife)
-            startRun(order, Duration { workerClockMs() - orders.echoMs });
+            startRun(order, areLate);
         else
             refuseStart(order, "worker_restarted");
     }
@@ -190,7 +194,7 @@
         });
 }
 
-void HostAgent::startRun(const RunOrder& order, Duration orderAge)
+void HostAgent::startRun(const RunOrder& order, bool isLate)
 {
     const int64_t leaseLeft = m_leaseUntilMs - workerClockMs();
     // The order is meant for the incarnation that answered the last poll, but calls reach the incarnation that was
@@ -199,7 +203,7 @@
         return refuseStart(order, "worker_restarted");
     if (m_announcement.draining)
         return refuseStart(order, "draining");
-    if (orderAge > m_settings.maxOrderAge)
+    if (isLate)
         return refuseStart(order, "order_late");
     if (leaseLeft < m_settings.minStartLease.count())
         return refuseStart(order, "lease_short");
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -145,7 +145,7 @@
     void noteLeaseGranted();
     int64_t workerClockMs() const;
 
-    void startRun(const RunOrder& order, Duration orderAge);
+    void startRun(const RunOrder& order, bool isLate);
     void handleStartAnswer(const std::string& key, const WorkerAnswer& answer);
     void revokeStart(const std::string& key);
     void refuseStart(const RunOrder& order, const std::string& reason);
--- a/src/node/DispatchEntry.cpp
+++ b/src/node/DispatchEntry.cpp
@@ -40,7 +40,7 @@
     , m_follower(reads, m_timers, m_clock, m_jobs, { .minReadInterval = m_settings.followerReadInterval })
     , m_writer(writes, m_timers, m_clock, {})
     , m_links(loop, m_clock, m_jobs, {})
-    , m_dispatcher(m_jobs, m_writer, m_links, m_clock, m_wallClock, m_counters, m_settings.dispatcher)
+    , m_dispatcher(m_jobs, m_follower, m_writer, m_links, m_clock, m_wallClock, m_counters, m_settings.dispatcher)
     , m_ownership(m_jobs, m_follower, writes, m_writer, m_clock, m_counters,
           { .entry = m_settings.name, .incarnation = m_incarnation },
           { [this](uint64_t, bool formerStopped) { ownershipAcquired(formerStopped); }, [this] { ownershipLost(); } })
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -126,6 +126,10 @@
     /// Numbers the owner's connections to the agent from 1, under one epoch. The agent refuses the orders of a
     /// connection that the owner has replaced. 0 in builds that do not number them.
     uint64_t connection { 0 };
+
+    /// The starts may be carried out until this long after the reading `echoMs`, in milliseconds. 0 in builds that do
+    /// not limit it.
+    int64_t startsValidMs { 0 };
 };
 
 } // namespace hemlocklead
--- a/src/protocol/MessageJson.h
+++ b/src/protocol/MessageJson.h
@@ -47,7 +47,7 @@
     fencesEpochs, epochFenced)
 HEMLOCKLEAD_JSON(PackedHostReport, data)
 HEMLOCKLEAD_JSON(HostOrders, epoch, life, echoMs, acknowledgedEnds, starts, stops, known, disturbances,
-    readsPackedReports, reportsRead, connection)
+    readsPackedReports, reportsRead, connection, startsValidMs)
 
 #undef HEMLOCKLEAD_JSON
 
--- a/tests/support/MemoryJournal.h
+++ b/tests/support/MemoryJournal.h
@@ -13,6 +13,7 @@
     enum class Mode : uint8_t {
         Normal,
         Refusing, ///< Calls fail; nothing is recorded or read.
+        RefusingReads, ///< Reads fail; appends are recorded and answered.
         LosingAnswers, ///< Appends are recorded, but their outcome is reported as unknown.
     };
 
@@ -28,7 +29,7 @@
 
     void newest(const std::string& after, Duration, std::function<void(dispatch::NewestPage)> done) override
     {
-        if (mode == Mode::Refusing || pagesLeft == 0)
+        if (refusesReads() || pagesLeft == 0)
             return done({});
         if (pagesLeft)
             --*pagesLeft;
@@ -51,7 +52,7 @@
     void read(uint64_t from, Duration, Duration, std::function<void(dispatch::ReadResult)> done) override
     {
         using Status = dispatch::ReadResult::Status;
-        if (mode == Mode::Refusing)
+        if (refusesReads())
             return done({});
         if (from < firstRetained)
             return done({ Status::Expired, {}, 0 });
@@ -81,6 +82,8 @@
     int appends { 0 };
 
 private:
+    bool refusesReads() const { return mode == Mode::Refusing || mode == Mode::RefusingReads; }
+
     dispatch::AppendStatus record(
         std::vector<dispatch::JournalRecord> records, const std::optional<dispatch::AppendFence>& fence)
     {
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -22,6 +22,8 @@
                 starts.emplace_back(host, start);
             for (const RunStop& stop : orders.stops)
                 stops.emplace_back(host, stop);
+            if (!orders.starts.empty())
+                lastStartsValidMs = orders.startsValidMs;
             acknowledged[host] = orders.acknowledgedEnds;
             ++messages;
             const size_t bytes = encodeFrame(orders).size();
@@ -32,6 +34,7 @@
         std::vector<std::pair<std::string, RunOrder>> starts;
         std::vector<std::pair<std::string, RunStop>> stops;
         std::map<std::string, uint64_t> acknowledged;
+        int64_t lastStartsValidMs { 0 }; ///< Of the last message with starts.
         int messages { 0 };
         size_t largestMessage { 0 }; ///< Bytes of its frame.
         size_t totalBytes { 0 };
@@ -43,7 +46,7 @@
             : registry(clock, counters)
             , follower(journal, timers, clock, registry, {})
             , writer(journal, timers, clock, {})
-            , dispatcher(registry, writer, sender, clock, wallClock, counters, {})
+            , dispatcher(registry, follower, writer, sender, clock, wallClock, counters, {})
             , ownership(registry, follower, journal, writer, clock, counters,
                   { .entry = name, .incarnation = std::hash<std::string>()(name) },
                   { [this](uint64_t, bool stopped) { dispatcher.activate(stopped); },
@@ -259,8 +262,8 @@
         EXPECT_EQ(entry.registry.find("job")->publishedPhase(), JobPhase::Completed);
     }
 
-    // Guards against a finished task that runs again: an owner that had been replaced acknowledged the end of a run that
-    // it did not know, since it had nothing to record (issue 31).
+    // Guards against a finished task that runs again: an owner that had been replaced acknowledged the end of a run
+    // that it did not know, since it had nothing to record (issue 31).
     TEST_F(DispatcherTest, endOfUnknownRun_ownershipNotConfirmed_isNotAcknowledged)
     {
         Entry entry("entry-1", m_journal, m_timers, m_clock);
@@ -280,6 +283,74 @@
         EXPECT_TRUE(entry.ownership.isOwner());
     }
 
+    // Guards against a start after the bound on cancellations: the owner's append with the start was recorded while its
+    // reads failed, and it ordered the start without having read a cancellation that another entry had acknowledged
+    // (soak seeds 3000 and 7008).
+    TEST_F(DispatcherTest, start_recordedWhileReadsFail_isOrderedOnlyWithARecentView)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("cancelled", { step(1, 1000) });
+        submit("kept", { step(1, 1000) });
+        m_timers.run(Duration { 150 });
+        ASSERT_NE(entry.registry.find("cancelled"), nullptr);
+        ASSERT_TRUE(entry.sender.starts.empty());
+        m_journal.mode = MemoryJournal::Mode::RefusingReads;
+        append(cancelKey("cancelled"), "{}");
+        m_timers.run(Duration { 2000 });
+        entry.dispatcher.hostReported("host-1", reportOf("host-1"));
+        run(entry, Duration { 300 });
+        EXPECT_NE(m_journal.value(stateKey("kept")), "");
+        EXPECT_TRUE(entry.sender.starts.empty());
+
+        m_journal.mode = MemoryJournal::Mode::Normal;
+        run(entry, Duration { 500 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        EXPECT_EQ(entry.sender.starts[0].second.task, "kept.0.0.0");
+    }
+
+    // Guards against a start after the bound on cancellations: the view that an order rests on and the time that the
+    // order takes to the worker count together.
+    TEST_F(DispatcherTest, startOrder_ofAnOlderView_isValidForLess)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { step(1, 1000) });
+        m_timers.run(Duration { 150 });
+        m_journal.mode = MemoryJournal::Mode::RefusingReads;
+        m_timers.run(Duration { 1200 });
+        HostReport report = reportOf("host-1");
+        report.clockMs += 1200;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 50 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        EXPECT_LE(entry.sender.lastStartsValidMs, 2900 - 1200);
+        EXPECT_GT(entry.sender.lastStartsValidMs, 0);
+    }
+
+    // Guards against a start that is recorded for one incarnation of the worker and ordered from the next one.
+    TEST_F(DispatcherTest, start_workerRestartsBeforeTheOrder_isPlacedAgain)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { step(1, 1000) });
+        m_timers.run(Duration { 150 });
+        m_journal.mode = MemoryJournal::Mode::RefusingReads;
+        m_timers.run(Duration { 2000 });
+        entry.dispatcher.hostReported("host-1", reportOf("host-1"));
+        run(entry, Duration { 100 });
+        HostReport report = reportOf("host-1");
+        report.life = 78;
+        entry.dispatcher.hostReported("host-1", report);
+        m_journal.mode = MemoryJournal::Mode::Normal;
+        run(entry, Duration { 500 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        EXPECT_EQ(entry.sender.starts[0].second.attempt, 2u);
+    }
+
     // Guards against a step that starts before all tasks of the step it depends on are done.
     TEST_F(DispatcherTest, step_withDependency_waitsForAllItsTasks)
     {
@@ -611,8 +682,8 @@
     {
         Entry entry("entry-1", m_journal, m_timers, m_clock);
         RecordingSender sender;
-        Dispatcher restarted(
-            entry.registry, entry.writer, sender, m_clock, entry.wallClock, entry.counters, Dispatcher::Settings {});
+        Dispatcher restarted(entry.registry, entry.follower, entry.writer, sender, m_clock, entry.wallClock,
+            entry.counters, Dispatcher::Settings {});
         becomeOwner(entry);
         entry.dispatcher.deactivate();
         entry.registry.setListener(&restarted);
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -213,6 +213,27 @@
         EXPECT_EQ(m_worker.starts.size(), 1u);
     }
 
+    // Guards against a start after the bound on cancellations, on the order of an owner whose view of the journal was
+    // old: such an order is valid for less.
+    TEST_F(HostAgentTest, start_orderOlderThanItsValidity_isRefused)
+    {
+        HostOrders orders;
+        orders.epoch = 7;
+        orders.life = life;
+        orders.echoMs = workerClock();
+        orders.startsValidMs = 1000;
+        RunOrder start;
+        start.sequence = 1;
+        start.task = "job.0.0.0";
+        start.attempt = 1;
+        orders.starts.push_back(start);
+        m_timers.run(Duration { 1100 });
+        m_agent.handleOrders(orders);
+        EXPECT_TRUE(m_worker.starts.empty());
+        ASSERT_EQ(lastReport().refusals.size(), 1u);
+        EXPECT_EQ(lastReport().refusals[0].reason, "order_late");
+    }
+
     // Guards against a restarted agent that reports an empty host: its first poll returns the worker's incarnation,
     // but it has not read the runs under its own fence yet. The owner then started three tasks a second time (soak seed
     // 103).
--- a/tests/unit/HostLinksTest.cpp
+++ b/tests/unit/HostLinksTest.cpp
@@ -52,9 +52,11 @@
         MemoryJournal m_journal;
         FixedWallClock m_wallClock;
         dispatch::JobRegistry m_jobs { m_clock, m_counters };
+        dispatch::JournalFollower m_follower { m_journal, m_timers, m_clock, m_jobs, {} };
         dispatch::JournalWriter m_writer { m_journal, m_timers, m_clock, {} };
         HostLinks m_links { m_loop, m_clock, m_jobs, { .reconnectDelay = Duration { 20 } } };
-        dispatch::Dispatcher m_dispatcher { m_jobs, m_writer, m_links, m_clock, m_wallClock, m_counters, {} };
+        dispatch::Dispatcher m_dispatcher { m_jobs, m_follower, m_writer, m_links, m_clock, m_wallClock, m_counters,
+            {} };
     };
 
     // Guards against a malformed report that ends the owner's process: the connection whose callback reads the report
--- a/tests/unit/ThinLinkTest.cpp
+++ b/tests/unit/ThinLinkTest.cpp
@@ -254,7 +254,7 @@
         JobRegistry m_registry { m_clock, m_counters };
         JournalFollower m_follower { m_journal, m_timers, m_clock, m_registry, { .minReadInterval = Duration { 20 } } };
         JournalWriter m_writer { m_journal, m_timers, m_clock, {} };
-        Dispatcher m_dispatcher { m_registry, m_writer, *this, m_clock, m_wallClock, m_counters, {} };
+        Dispatcher m_dispatcher { m_registry, m_follower, m_writer, *this, m_clock, m_wallClock, m_counters, {} };
         Ownership m_ownership { m_registry, m_follower, m_journal, m_writer, m_clock, m_counters,
             { .entry = "entry-1", .incarnation = 1 },
             { [this](uint64_t, bool stopped) { m_dispatcher.activate(stopped); },
