Do not start an expired queued request when a handler sends another one

A start could reach a worker after its timeout: it was queued for a connection while the process was paused.

Cause: drops expired requests once the handler of the ended exchange has returned. If that handler sends a request, as the one of a task list does with its deletes, the first queued request is started before that.

Change: a request whose timeout has passed on the boot clock is never started. It is reported by the drop after the handler or by its own timer, not from within `send`.

Result: HttpClientTest.client_handlerSendsAfterPause_doesNotSendExpiredQueuedRequest failed before (three requests reached the server, status Unknown) and passes. Whether it contributes to DataCentreTest.agentPausedAcrossOut_nothingStartsThere is not shown.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -269,9 +269,16 @@
 
 void HttpClient::Core::startPending()
 {
-    while (!closed && !pending.empty() && running.size() < maxConnections) {
-        const std::unique_ptr<PendingRequest> next = std::move(pending.front());
-        pending.pop_front();
+    // After a pause of the process, the turn of a request may come before its timer. It is reported by `dropExpired` or
+    // by the timer, since callbacks must not run from within `send`.
+    const Instant now = clock.now();
+    while (!closed && running.size() < maxConnections) {
+        const auto found = std::ranges::find_if(
+            pending, [now](const std::unique_ptr<PendingRequest>& entry) { return now <= entry->expiresAt; });
+        if (found == pending.end())
+            return;
+        const std::unique_ptr<PendingRequest> next = std::move(*found);
+        pending.erase(found);
         Timer* timer = next->timer.get();
         running.push_back(std::make_unique<Exchange>(*this, takeConnection(), *next));
         Exchange* exchange = running.back().get();
@@ -317,7 +324,6 @@
 
 void HttpClient::Core::dropExpired()
 {
-    // After a pause of the process, the turn of a request may come before its timer.
     const Instant now = clock.now();
     const auto isExpired = [now](const std::unique_ptr<PendingRequest>& entry) { return now > entry->expiresAt; };
     for (auto found = std::ranges::find_if(pending, isExpired); found != pending.end();
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -14,6 +14,17 @@
 
     using Status = HttpExchange::Status;
 
+    /// Server that counts the requests and answers each at once.
+    struct RequestCounter {
+        std::atomic<int> requests { 0 };
+        RawServer server { [this](int socket, int) {
+            while (!rawReadMessage(socket).empty()) {
+                ++requests;
+                rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        } };
+    };
+
     class HttpClientTest : public testing::Test {
     protected:
         static HttpRequest makeRequest(std::string method = "POST")
@@ -175,6 +186,26 @@
         EXPECT_EQ(requests, 1);
     }
 
+    // Guards against a start order that a worker gets long after it was decided: the response that ended the exchange
+    // before it was handled first after a pause, and its handler sent another request.
+    TEST_F(HttpClientTest, client_handlerSendsAfterPause_doesNotSendExpiredQueuedRequest)
+    {
+        RequestCounter counter;
+        HttpClient client(m_loop, counter.server.address(), 1);
+        std::optional<HttpExchange> queued;
+        std::optional<HttpExchange> next;
+        client.send(makeRequest(), Duration { 1500 }, [&](const HttpExchange&) {
+            usleep(100'000);
+            client.send(makeRequest(), Duration { 1500 }, [&](HttpExchange exchange) { next = std::move(exchange); });
+        });
+        client.send(makeRequest(), Duration { 50 }, [&](HttpExchange exchange) { queued = std::move(exchange); });
+        runFor(Duration { 300 });
+        ASSERT_TRUE(queued && next);
+        EXPECT_EQ(queued->status, Status::NotSent);
+        EXPECT_EQ(next->status, Status::Answered);
+        EXPECT_EQ(counter.requests, 2);
+    }
+
     // Guards against a large response on a thin link that is abandoned and requested again for good: after a restart,
     // an owner never read the operators' records (review, 656 starts in a closed data centre).
     TEST_F(HttpClientTest, client_responseArrivesSlowly_timeoutLimitsOnlyItsPauses)
