Follow the newest owner at once after a former one was refused

When the worker had refused a former owner, the agent kept that owner's number of connections and refused the newest owner's until their number had passed it: the leases of a healthy host could lapse. It also kept the lease that the former owner had granted and conveyed it, and repeated its unanswered stops, under the fence of the newest one. A read of the newest epoch that failed was repeated every 250 ms. A confirmation of the epoch counted for good, so that two processes could raise their fences without a pause. The list of runs counted as read although the worker had refused the agent since.

Now an accepted epoch resets the number and the lease, and drops the stops; a failed read is repeated after 1 s; a confirmation allows one higher fence; a refused poll voids the list. A fence leaves 2^24 instead of 2^32 numbers to each epoch, so it stays exact as a JSON number for 2^29 epochs.

Evidence: three new tests of RestartedAgentTest.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -15,8 +15,9 @@
     /// An unanswered stop is abandoned after this many tries; the owner repeats it if it is still needed.
     constexpr int maxStopTries = 5;
 
-    /// A fence is the owner's epoch times this, plus a number that rises with each process of the agent.
-    constexpr uint64_t fencesPerEpoch = uint64_t { 1 } << 32;
+    /// A fence is the owner's epoch times this, plus a number that the agent raises when the worker refuses it. Fences
+    /// stay exact as JSON numbers for epochs up to 2^29.
+    constexpr uint64_t fencesPerEpoch = uint64_t { 1 } << 24;
 
 } // namespace
 
@@ -145,7 +146,11 @@
     m_epochSeen = epoch;
     m_epochFenced = false;
     m_epochIsNewest = false;
-    // The worker's clock increases across restarts of the agent, so it yields increasing fences under one epoch.
+    m_ownerConnection = 0;
+    // What the former owner has granted must not reach the worker under the fence of this one.
+    m_leaseUntilMs = 0;
+    // The worker's clock increases across restarts of the agent, so the first fence of a process mostly exceeds those
+    // of earlier ones.
     if (m_fence != 0)
         m_fence = std::max(m_fence, epoch * fencesPerEpoch + static_cast<uint64_t>(workerClockMs()) % fencesPerEpoch);
     schedulePoll(Duration { 0 });
@@ -168,7 +173,7 @@
         return schedulePoll(Duration { 0 });
     }
     // The worker has seen a later epoch, or an agent of a build that does not put the epoch into its fences.
-    if (m_epochIsNewest) {
+    if (std::exchange(m_epochIsNewest, false)) {
         m_fence = 2 * m_fence + 1;
         return schedulePoll(Duration { 0 });
     }
@@ -183,9 +188,11 @@
     LogEvent(LogLevel::Warning, "epoch_refused_by_worker").field("epoch", m_epochSeen).field("life", m_life);
     readOwnerEpoch(
         m_journal, m_settings.epochCheckTimeout, [this, epoch = m_epochSeen](std::optional<uint64_t> newest) {
-            m_isCheckingEpoch = false;
             LogEvent(LogLevel::Info, "epoch_checked").field("epoch", epoch).field("newest", newest.value_or(0));
-            if (!newest || epoch != m_epochSeen)
+            if (!newest)
+                return m_timers.after(m_settings.epochCheckTimeout, [this] { m_isCheckingEpoch = false; });
+            m_isCheckingEpoch = false;
+            if (epoch != m_epochSeen)
                 return;
             if (*newest > m_epochSeen)
                 acceptEpoch(*newest);
@@ -294,7 +301,10 @@
     m_worker.stop(stop, m_fence, [this, stop, triesLeft, life = m_life](const WorkerAnswer& answer) {
         if (life != m_life || answer.status != WorkerAnswer::Status::None || triesLeft <= 1)
             return;
-        m_timers.after(m_settings.stopRetry, [this, stop, triesLeft] { stopRun(stop, triesLeft - 1); });
+        m_timers.after(m_settings.stopRetry, [this, stop, triesLeft, epoch = m_epochSeen] {
+            if (epoch == m_epochSeen)
+                stopRun(stop, triesLeft - 1);
+        });
     });
 }
 
@@ -357,8 +367,12 @@
         beginIncarnation(state.life);
     m_clockMs = state.clockMs;
     m_clockReadAt = m_clock.now();
-    if (m_fence == 0 || state.status == WorkerState::Status::Fenced)
+    if (m_fence == 0 || state.status == WorkerState::Status::Fenced) {
+        // Another process of the agent may have acted since the last list.
+        m_epochFenced = false;
+        m_hasReadRuns = false;
         return raiseFence();
+    }
     m_epochFenced = m_epochSeen != 0 && sent.epoch == m_epochSeen;
     if (m_unansweredPolls >= m_settings.pollsUntilSilent)
         LogEvent(LogLevel::Info, "worker_reached").field("life", m_life);
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -178,7 +178,7 @@
 
     uint64_t m_fence { 0 }; ///< 0 until the worker's clock is known.
     bool m_epochFenced { false }; ///< The worker has accepted a fence of `m_epochSeen` in its current incarnation.
-    bool m_epochIsNewest { false }; ///< According to the journal, no owner has followed the one with `m_epochSeen`.
+    bool m_epochIsNewest { false }; ///< According to the journal; allows one higher fence than those of the epoch.
     bool m_isCheckingEpoch { false };
     int64_t m_life { 0 };
     int64_t m_clockMs { 0 };
--- a/tests/support/MemoryJournal.h
+++ b/tests/support/MemoryJournal.h
@@ -29,6 +29,7 @@
 
     void newest(const std::string& after, Duration, std::function<void(dispatch::NewestPage)> done) override
     {
+        ++pages;
         if (refusesReads() || pagesLeft == 0)
             return done({});
         if (pagesLeft)
@@ -80,6 +81,7 @@
     std::optional<int> pagesLeft; ///< Number of pages of newest records before such reads fail; unlimited if empty.
     uint64_t firstRetained { 0 };
     int appends { 0 };
+    int pages { 0 }; ///< Reads of newest records, also refused ones.
 
 private:
     bool refusesReads() const { return mode == Mode::Refusing || mode == Mode::RefusingReads; }
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -375,11 +375,12 @@
 
         /// Connects the owner with that epoch, which sends orders to extend the lease and to start `task`, if not
         /// empty.
-        bool order(uint64_t epoch, const std::string& task)
+        bool order(uint64_t epoch, const std::string& task, uint64_t connection = 1)
         {
             m_agent->handleOwnerConnected();
             HostOrders orders;
             orders.epoch = epoch;
+            orders.connection = connection;
             m_agent->handleOrders(orders);
             m_timers.run(Duration { 50 });
             orders.life = FencingWorker::life;
@@ -435,6 +436,54 @@
         EXPECT_GT(m_worker.leaseUntilMs, leaseUntilMs);
     }
 
+    // Guards against a healthy host whose leases lapse: the newest owner's connections were compared with the number of
+    // the former owner's, which the agent had obeyed before the worker refused it.
+    TEST_F(RestartedAgentTest, newestOwner_connectsAfterTheFormerOneWasRefused_isObeyedAtOnce)
+    {
+        recordOwner(9000);
+        startAgent();
+        EXPECT_TRUE(order(9000, "job.0.0.0"));
+        endAgent();
+
+        startAgent();
+        order(7000, "job.0.0.1", 150);
+        ASSERT_EQ(m_agent->epochSeen(), 9000u);
+        EXPECT_TRUE(order(9000, "job.0.0.2", 1));
+        EXPECT_EQ(m_worker.running.size(), 2u);
+    }
+
+    // Guards against a lease that a former owner has granted and that reaches the worker under its successor's fence.
+    TEST_F(RestartedAgentTest, newestOwner_accepted_doesNotConveyTheFormerOwnersLease)
+    {
+        startAgent();
+        EXPECT_TRUE(order(7000, "job.0.0.0"));
+        const int64_t leaseUntilMs = m_worker.leaseUntilMs;
+        m_worker.leaseUntilMs = 0;
+        HostOrders orders;
+        orders.epoch = 9000;
+        m_agent->handleOwnerConnected();
+        EXPECT_TRUE(m_agent->handleOrders(orders));
+        m_timers.run(Duration { 600 });
+        EXPECT_EQ(m_worker.leaseUntilMs, 0);
+        EXPECT_TRUE(order(9000, ""));
+        EXPECT_GT(m_worker.leaseUntilMs, leaseUntilMs);
+    }
+
+    // Guards against a page of records that is read from the store every 250 ms while the store refuses reads.
+    TEST_F(RestartedAgentTest, formerOwner_isRefusedWhileTheStoreIsAway_storeIsAskedOnceASecond)
+    {
+        startAgent();
+        EXPECT_TRUE(order(9000, ""));
+        endAgent();
+        m_journal.mode = MemoryJournal::Mode::Refusing;
+        startAgent();
+        order(7000, "");
+        m_journal.pages = 0;
+        m_timers.run(Duration { 5000 });
+        EXPECT_GE(m_journal.pages, 4);
+        EXPECT_LE(m_journal.pages, 6);
+    }
+
     // Guards against a former owner that is obeyed because the store cannot be asked which owner is the newest.
     TEST_F(RestartedAgentTest, formerOwner_ordersAfterAgentRestartWithoutStore_startsNothing)
     {
@@ -455,7 +504,7 @@
     TEST_F(RestartedAgentTest, newestOwner_fenceOfEarlierBuildIsHigher_isObeyedOnceTheJournalConfirmsIt)
     {
         recordOwner(9000);
-        m_worker.highestFence = uint64_t { 30'000 } << 32;
+        m_worker.highestFence = uint64_t { 30'000 } << 24;
         startAgent();
         order(9000, "");
         EXPECT_TRUE(order(9000, "job.0.0.0"));
@@ -465,7 +514,7 @@
     // Guards against an agent that polls its worker without a pause while it has no owner.
     TEST_F(RestartedAgentTest, agentWithoutOwner_workerHasSeenAnOwner_pollsAtTheRetryInterval)
     {
-        m_worker.highestFence = uint64_t { 9000 } << 32;
+        m_worker.highestFence = uint64_t { 9000 } << 24;
         startAgent();
         m_worker.polls = 0;
         m_timers.run(Duration { 1000 });
