Give up a start whose host is lost before the order

A recorded start waits while its host is in the list of leases. If the host was lost in that time, the run kept the host in the list and the list kept the start waiting: the task would have run nowhere until the owner changed (LOST).

Now a start for a host that cannot be reached is given up at once and its task placed again, whatever else it waits for.

Evidence: DispatcherTest.start_hostLostBeforeTheOrder_isPlacedAgain, for a start that waits for a recent view.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -307,17 +307,21 @@
 
 void Dispatcher::queueStartOrders()
 {
-    if (!isViewFresh())
-        return;
-    std::vector<PendingStart> listed;
+    const bool isFresh = isViewFresh();
     for (const PendingStart& start : std::exchange(m_durableStarts, {})) {
-        // No message is sent to a listed host yet.
-        if (m_listedHosts.contains(start.host))
-            listed.push_back(start);
+        // No message is sent to a listed host yet. A start for a host that cannot be reached is given up at once.
+        const bool mustWait = !isFresh || m_listedHosts.contains(start.host);
+        if (mustWait && isReachable(m_hosts.host(start.host)))
+            m_durableStarts.push_back(start);
         else
             queueStartOrder(start);
     }
-    m_durableStarts.insert(m_durableStarts.end(), listed.begin(), listed.end());
+}
+
+bool Dispatcher::isReachable(const HostState& host) const
+{
+    return host.connected && host.reported && !host.last.draining
+        && !m_closedDataCentres.contains(host.last.dataCentre);
 }
 
 void Dispatcher::queueStartOrder(const PendingStart& start)
@@ -329,9 +333,7 @@
         return;
     Job* job = m_registry.find(start.task.job);
     const bool isNeeded = job && !isFinal(job->phase()) && !run->second.stopping;
-    const bool reachable
-        = host.connected && host.reported && !host.last.draining && !m_closedDataCentres.contains(host.last.dataCentre);
-    if (!isNeeded || !reachable)
+    if (!isNeeded || !isReachable(host))
         return markRunLost(host, name, isNeeded ? "host_left_before_order" : "not_wanted");
     // The order would be carried out by the incarnation that is known now, but the record names the one before.
     if (job->find(start.task)->life != host.last.life)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -168,6 +168,7 @@
     void onCommitDurable(const Commit& commit);
     bool isViewFresh() const;
     void queueStartOrders();
+    bool isReachable(const HostState& host) const;
     void queueStartOrder(const PendingStart& start);
     Duration startValidity(const HostState& host) const;
     void removeExpiredJobs(std::vector<JournalRecord>& records);
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -330,6 +330,27 @@
         EXPECT_GT(entry.sender.lastStartsValidMs, 0);
     }
 
+    // Guards against a task that waits for good: its start was recorded while the owner's view was old, and its host
+    // was lost before the order.
+    TEST_F(DispatcherTest, start_hostLostBeforeTheOrder_isPlacedAgain)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { step(1, 1000) });
+        m_timers.run(Duration { 150 });
+        m_journal.mode = MemoryJournal::Mode::RefusingReads;
+        m_timers.run(Duration { 2000 });
+        entry.dispatcher.hostReported("host-1", reportOf("host-1"));
+        run(entry, Duration { 100 });
+        entry.dispatcher.hostDisconnected("host-1");
+        run(entry, Duration { 4000 });
+        m_journal.mode = MemoryJournal::Mode::Normal;
+        runConnected(entry, "host-2", Duration { 1000 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        EXPECT_EQ(entry.sender.starts[0].first, "host-2");
+    }
+
     // Guards against a start that is recorded for one incarnation of the worker and ordered from the next one.
     TEST_F(DispatcherTest, start_workerRestartsBeforeTheOrder_isPlacedAgain)
     {
