Give up the ownership once a higher claim has been read

An owner whose reads work and whose appends are turned away read its successor's claim and records and went on sending orders, for up to 8 s, until the store refused an append for its epoch. No doubled run is known from it, since agents and workers refuse such orders.

Evidence: DispatcherTest.owner_readsAHigherClaim_stopsActingBeforeItsAppendsAreFenced.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -296,7 +296,8 @@
 
 bool Dispatcher::isViewFresh() const
 {
-    return m_follower.isCaughtUp() && m_clock.now() - m_follower.freshAsOf() <= m_settings.maxViewAge;
+    return m_follower.isCaughtUp() && m_registry.owner().epoch == m_writer.epoch()
+        && m_clock.now() - m_follower.freshAsOf() <= m_settings.maxViewAge;
 }
 
 Duration Dispatcher::startValidity(const HostState& host) const
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -58,6 +58,11 @@
             m_writer.close();
             return handleLoss();
         }
+        // The store may turn this entry's appends away for seconds before it refuses one for its epoch.
+        if (m_registry.owner().epoch > m_writer.epoch()) {
+            m_writer.close();
+            return handleLoss();
+        }
         if (m_writer.isIdle() && now - m_writer.epochConfirmedAt() >= m_settings.heartbeatInterval)
             m_writer.commit({ { std::string(ownerKey), ownerValue(record(false)), 0 } }, [] {});
         return;
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -351,6 +351,21 @@
         EXPECT_EQ(entry.sender.starts[0].first, "host-2");
     }
 
+    // Guards against an owner that goes on sending orders although it has read its successor's claim.
+    TEST_F(DispatcherTest, owner_readsAHigherClaim_stopsActingBeforeItsAppendsAreFenced)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        append(std::string(ownerKey), ownerValue({ entry.writer.epoch() + 1000, "entry-2", 2, false }));
+        m_journal.mode = MemoryJournal::Mode::LosingAnswers;
+        run(entry, Duration { 300 });
+        EXPECT_FALSE(entry.ownership.isOwner());
+        const int sent = entry.sender.messages;
+        run(entry, Duration { 1000 });
+        EXPECT_EQ(entry.sender.messages, sent);
+    }
+
     // Guards against a start that is recorded for one incarnation of the worker and ordered from the next one.
     TEST_F(DispatcherTest, start_workerRestartsBeforeTheOrder_isPlacedAgain)
     {
