Wait for former owners again when an agent goes back to an earlier build

A host counted as one whose worker refuses former owners also after its agent had been replaced by one of an earlier build, which forgets the epochs that it has seen.

Evidence: DispatcherTest.hostLost_agentOfEarlierBuildTookOver_ tasksWaitForTheFormerOwnersLeases.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -36,13 +36,13 @@
     deactivate();
     m_active = true;
     const Instant now = m_clock.now();
-    const Instant unlistedEnd = adoptedLeaseEnd(formerStopped);
+    m_formerLeasesEnd = adoptedLeaseEnd(formerStopped);
     const std::optional<LeaseList>& list = m_registry.leaseList();
     for (const auto& [name, member] : m_registry.hosts()) {
         const bool isListed = list && list->ends.contains(name);
         if (isListed)
             m_listedHosts.insert(name);
-        m_hosts.host(name).leaseEnd = isListed ? list->ends.at(name) : unlistedEnd;
+        m_hosts.host(name).leaseEnd = isListed ? list->ends.at(name) : m_formerLeasesEnd;
     }
     for (const auto& [id, job] : m_registry.jobs()) {
         adoptRuns(*job);
@@ -61,7 +61,7 @@
         .field("open_jobs", static_cast<uint64_t>(m_openJobs.size()))
         .field("hosts", static_cast<uint64_t>(m_hosts.hosts().size()))
         .field("former_stopped", formerStopped ? 1 : 0)
-        .field("leases_end_ms", static_cast<int64_t>((unlistedEnd - now).count()));
+        .field("leases_end_ms", static_cast<int64_t>((m_formerLeasesEnd - now).count()));
 }
 
 Instant Dispatcher::adoptedLeaseEnd(bool formerStopped) const
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -202,6 +202,7 @@
     std::vector<PendingStart> m_pendingStarts; ///< Recorded with the next commit.
     std::vector<PendingStart> m_durableStarts; ///< Recorded, and ordered with the next message to their host.
     std::set<std::string> m_listedHosts; ///< Hosts in the newest list of leases or in the one that is being recorded.
+    Instant m_formerLeasesEnd {}; ///< No earlier owner extends a lease beyond this.
     bool m_hasRecordedLeases { false }; ///< This owner's first list is recorded.
     std::map<std::string, Instant> m_endedJobs; ///< When each ended job ended, until its records are removed.
 };
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -43,6 +43,11 @@
         workerLifeChanged(host, report);
     if (report.epochFenced && report.epochSeen == m_writer.epoch())
         host.fencedLife = report.life;
+    // An agent of an earlier build has taken over: it raises its fence without regard to epochs.
+    if (!report.fencesEpochs && host.fencedLife != 0) {
+        host.fencedLife = 0;
+        host.leaseEnd = std::max(host.leaseEnd, m_formerLeasesEnd);
+    }
     host.last = report;
     host.last.running.clear();
     host.last.pending.clear();
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -471,6 +471,21 @@
         EXPECT_EQ(second.sender.starts[0].first, "host-2");
     }
 
+    // Guards against two runs at once after an agent went back to an earlier build, which forgets the epochs that it
+    // has seen.
+    TEST_F(DispatcherTest, hostLost_agentOfEarlierBuildTookOver_tasksWaitForTheFormerOwnersLeases)
+    {
+        Entry second("entry-2", m_journal, m_timers, m_clock);
+        takeOverRun(second, true);
+        second.dispatcher.hostConnected("host-1");
+        HostReport report = reportOf("host-1");
+        report.running = { { "job.0.0.0", 1, "", 50 } };
+        second.dispatcher.hostReported("host-1", report);
+        second.dispatcher.hostDisconnected("host-1");
+        runConnected(second, "host-2", Duration { 8000 });
+        EXPECT_TRUE(second.sender.starts.empty());
+    }
+
     // Guards against a wait for the former owner's leases on a host whose worker refuses the former owner.
     TEST_F(DispatcherTest, hostLost_workerRefusesFormerOwner_tasksRestartAfterOwnLeases)
     {
