Refuse soak ranges without a seed and arguments that are not numbers

Cause: `soak 7001 40` (last below first) ran nothing and exited with 0, as did text that is not a number, read as 0.

Change: one or two numbers in ascending order, anything else is a usage error with exit code 2.

Measured: "7001 40", "x", "1 2x", "1 2 3", "" and "-1" exit with 2.

--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -1,12 +1,15 @@
 // Runs the fault soak for a range of seeds: soak FIRST [LAST]. The exit code is 1 when a seed violated an invariant;
-// the faults and logs of that seed are written to soak-SEED.log.
+// the faults and logs of that seed are written to soak-SEED.log. The exit code is 2 for a usage error; a range without
+// a seed is one, since it would check nothing.
 #include "soak/Soak.h"
 
 #include "base/Log.h"
 
-#include <cstdlib>
+#include <charconv>
 #include <fstream>
 #include <iostream>
+#include <optional>
+#include <string_view>
 
 namespace hemlocklead::soak {
 namespace {
@@ -32,21 +35,45 @@
         return false;
     }
 
+    struct SeedRange {
+        uint64_t first;
+        uint64_t last;
+    };
+
+    std::optional<uint64_t> parseSeed(std::string_view text)
+    {
+        uint64_t seed = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed);
+        const bool isNumber = error == std::errc {} && end == text.data() + text.size();
+        return isNumber ? std::optional(seed) : std::nullopt;
+    }
+
+    /// Returns the seeds that the arguments name; empty if they are not one or two numbers in ascending order.
+    std::optional<SeedRange> parseArguments(int count, char** arguments)
+    {
+        if (count != 2 && count != 3)
+            return std::nullopt;
+        const std::optional<uint64_t> first = parseSeed(arguments[1]);
+        const std::optional<uint64_t> last = parseSeed(arguments[count - 1]);
+        if (!first || !last || *last < *first)
+            return std::nullopt;
+        return SeedRange { *first, *last };
+    }
+
 } // namespace
 } // namespace hemlocklead::soak
 
 int main(int count, char** arguments)
 {
     using namespace hemlocklead;
-    if (count < 2) {
-        std::cerr << "usage: soak FIRST [LAST]" << std::endl;
+    const std::optional<soak::SeedRange> seeds = soak::parseArguments(count, arguments);
+    if (!seeds) {
+        std::cerr << "usage: soak FIRST [LAST], two numbers in ascending order" << std::endl;
         return 2;
     }
     configureLog("soak", LogLevel::Error, LogTarget::StandardError);
-    const uint64_t first = std::strtoull(arguments[1], nullptr, 10);
-    const uint64_t last = count > 2 ? std::strtoull(arguments[2], nullptr, 10) : first;
     bool passed = true;
-    for (uint64_t seed = first; seed <= last; ++seed)
+    for (uint64_t seed = seeds->first; seed <= seeds->last; ++seed)
         passed &= soak::runSeed(seed);
     return passed ? 0 : 1;
 }
