Cut single pairs of entry and agent in the soak

Change: the proxy looks up which entry opened a connection: the socket's inode in /proc/net/tcp, then the open files of the entries. A listening proxy for each entry is not possible, since an agent announces one address. A run in which no entry was recognised at an agent fails, since it would cut nothing.

--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -30,6 +30,19 @@
         return native;
     }
 
+    /// Makes the kernel reset the connection when the socket is closed.
+    void resetOnClose(evutil_socket_t socket)
+    {
+        const linger abortive { 1, 0 };
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &abortive, sizeof abortive);
+    }
+
+    bool blocks(FaultProxy::Fault fault, bool toTarget)
+    {
+        using Fault = FaultProxy::Fault;
+        return fault == Fault::Blocked || fault == (toTarget ? Fault::BlockToTarget : Fault::BlockToClient);
+    }
+
 } // namespace
 
 FaultProxy::FaultProxy(EventLoop& loop, const Address& target)
@@ -54,6 +67,7 @@
 Result<void> FaultProxy::listen(const Address& address)
 {
     const sockaddr_in native = toSockaddr(address);
+    m_port = address.port;
     m_listener = evconnlistener_new_bind(m_loop.native(), &FaultProxy::accepted, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&native), sizeof native);
     if (!m_listener)
@@ -61,12 +75,22 @@
     return {};
 }
 
-void FaultProxy::accepted(evconnlistener*, int socket, sockaddr*, int, void* self)
+void FaultProxy::accepted(evconnlistener*, int socket, sockaddr* client, int, void* self)
 {
     auto* proxy = static_cast<FaultProxy*>(self);
+    if (proxy->m_fault == Fault::Refused) {
+        resetOnClose(socket);
+        close(socket);
+        return;
+    }
     proxy->m_pairs.push_back(std::make_unique<ConnectionPair>());
     ConnectionPair& pair = *proxy->m_pairs.back();
     pair.proxy = proxy;
+    if (proxy->m_clientLookup) {
+        const auto* native = reinterpret_cast<const sockaddr_in*>(client);
+        pair.clientNumber = proxy->m_clientLookup(ntohs(native->sin_port), proxy->m_port);
+        proxy->m_knownClients += pair.clientNumber.has_value();
+    }
     pair.client = bufferevent_socket_new(proxy->m_loop.native(), socket, BEV_OPT_CLOSE_ON_FREE);
     pair.target = bufferevent_socket_new(proxy->m_loop.native(), -1, BEV_OPT_CLOSE_ON_FREE);
     for (bufferevent* side : { pair.client, pair.target }) {
@@ -74,8 +98,8 @@
         bufferevent_enable(side, EV_READ | EV_WRITE);
     }
     proxy->limitRate(pair);
-    const sockaddr_in native = toSockaddr(proxy->m_target);
-    bufferevent_socket_connect(pair.target, reinterpret_cast<const sockaddr*>(&native), sizeof native);
+    const sockaddr_in target = toSockaddr(proxy->m_target);
+    bufferevent_socket_connect(pair.target, reinterpret_cast<const sockaddr*>(&target), sizeof target);
 }
 
 void FaultProxy::limitRate(const ConnectionPair& pair)
@@ -94,14 +118,25 @@
         proxy.forward(pair, from);
 }
 
-bool FaultProxy::isBlocked(bool toTarget) const
+FaultProxy::Fault FaultProxy::clientFault(const ConnectionPair& pair) const
 {
-    return m_fault == Fault::Blocked || m_fault == (toTarget ? Fault::BlockToTarget : Fault::BlockToClient);
+    const auto found = pair.clientNumber ? m_clientFaults.find(*pair.clientNumber) : m_clientFaults.end();
+    return found == m_clientFaults.end() ? Fault::None : found->second;
+}
+
+bool FaultProxy::isBlocked(const ConnectionPair& pair, bool toTarget) const
+{
+    return blocks(m_fault, toTarget) || blocks(clientFault(pair), toTarget);
+}
+
+bool FaultProxy::isDisturbed(const ConnectionPair& pair) const
+{
+    return m_fault != Fault::None || clientFault(pair) != Fault::None;
 }
 
 void FaultProxy::forward(ConnectionPair& pair, bufferevent* from)
 {
-    if (!isBlocked(from == pair.client))
+    if (!isBlocked(pair, from == pair.client))
         bufferevent_write_buffer(from == pair.client ? pair.target : pair.client, bufferevent_get_input(from));
 }
 
@@ -119,21 +154,34 @@
     // During a fault, neither side is notified that the other one has closed its connection.
     if (!(events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
         return;
-    if (pair.proxy->m_fault == Fault::None)
-        pair.proxy->closePair(pair, false);
-    else
+    if (pair.proxy->isDisturbed(pair))
         pair.isClosePending = true;
+    else
+        pair.proxy->closePair(pair, false);
 }
 
 void FaultProxy::setFault(Fault fault)
 {
     m_fault = fault;
+    if (fault == Fault::Refused)
+        reset();
+    applyFaults();
+}
+
+void FaultProxy::setClientFault(size_t client, Fault fault)
+{
+    m_clientFaults[client] = fault;
+    applyFaults();
+}
+
+void FaultProxy::applyFaults()
+{
     std::vector<ConnectionPair*> closing;
     for (const auto& pair : m_pairs) {
         limitRate(*pair);
         forward(*pair, pair->client);
         forward(*pair, pair->target);
-        if (fault == Fault::None && pair->isClosePending)
+        if (pair->isClosePending && !isDisturbed(*pair))
             closing.push_back(pair.get());
     }
     for (ConnectionPair* pair : closing)
@@ -150,9 +198,8 @@
 {
     for (bufferevent* side : { pair.client, pair.target }) {
         const evutil_socket_t socket = bufferevent_getfd(side);
-        const linger abortive { 1, 0 };
         if (sendReset && socket >= 0)
-            setsockopt(socket, SOL_SOCKET, SO_LINGER, &abortive, sizeof abortive);
+            resetOnClose(socket);
         bufferevent_free(side);
     }
     std::erase_if(m_delayed, [&](const auto& entry) { return entry.second.first == &pair; });
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,5 +1,6 @@
 #include "soak/Soak.h"
 
+#include "soak/SocketOwner.h"
 #include "state/Json.h"
 
 #include <algorithm>
@@ -19,9 +20,17 @@
     constexpr Duration retryDelay { 300 };
     constexpr int maxSubmitTries = 5;
     constexpr size_t maxActiveFaults = 3; ///< Active at the same time.
+
+    /// A new owner takes the leases of a host that it no longer reaches for ended after 5.4 s; cuts end before and
+    /// after that.
+    constexpr Duration shortestPairCut { 1000 };
+    constexpr Duration longestPairCut { 9000 };
     constexpr int64_t workerCpuMilli = 8000;
     constexpr uint64_t firstSeedWithThinLinks = 3000;
-    constexpr size_t thinLinkKinds = 2;
+
+    /// From this seed on, entries and agents are as many as at the largest of the users' sites that fit on one machine,
+    /// and faults may separate one entry from one agent.
+    constexpr uint64_t firstSeedAtSiteScale = 8000;
 
     std::string quoted(const Address& address) { return "\"" + address.text() + "\"\n"; }
 
@@ -52,8 +61,14 @@
         { "kill", &Soak::kill, &Soak::noAction, &Soak::programCount },
         { "terminate", &Soak::terminate, &Soak::noAction, &Soak::programCount },
         { "reload", &Soak::reload, &Soak::noAction, &Soak::programCount },
-        { "link_thin", &Soak::storeLinkThin, &Soak::storeLinkRecovers, &Soak::programCount },
-        { "owners_thin", &Soak::ownerLinkThin, &Soak::ownerLinkRecovers, &Soak::agentCount },
+        { "link_thin", &Soak::storeLinkThin, &Soak::storeLinkRecovers, &Soak::programCount, firstSeedWithThinLinks },
+        { "owners_thin", &Soak::ownerLinkThin, &Soak::ownerLinkRecovers, &Soak::agentCount, firstSeedWithThinLinks },
+        { "pair_cut_out", &Soak::pairOrdersBlocked, &Soak::pairRecovers, &Soak::pairCount, firstSeedAtSiteScale,
+            shortestPairCut, longestPairCut },
+        { "pair_cut_back", &Soak::pairReportsBlocked, &Soak::pairRecovers, &Soak::pairCount, firstSeedAtSiteScale,
+            shortestPairCut, longestPairCut },
+        { "pair_silent", &Soak::pairBlocked, &Soak::pairRecovers, &Soak::pairCount, firstSeedAtSiteScale,
+            shortestPairCut, longestPairCut },
     };
     return faultKinds;
 }
@@ -89,6 +104,8 @@
             const Address worker = freeAddress();
             const Address control = freeAddress();
             program.ownerProxy = std::make_unique<FaultProxy>(m_loop, owners);
+            program.ownerProxy->setClientLookup(
+                [this](uint16_t port, uint16_t peerPort) { return findEntry(port, peerPort); });
             BOOST_LEAF_CHECK(program.ownerProxy->listen(announced));
             text += "owners = " + quoted(owners) + "announce = " + quoted(announced) + "worker = " + quoted(worker)
                 + "control = " + quoted(control);
@@ -111,6 +128,14 @@
     program.pid = m_runner.start(program.name, "hemlocklead", program.arguments);
 }
 
+std::optional<size_t> Soak::findEntry(uint16_t port, uint16_t peerPort) const
+{
+    std::vector<pid_t> entries;
+    for (size_t i = 0; i < m_settings.entries; ++i)
+        entries.push_back(m_programs[i].pid);
+    return findSocketOwner(port, peerPort, entries);
+}
+
 void Soak::writeConfiguration()
 {
     const Json route
@@ -123,11 +148,13 @@
 {
     if (m_active.size() >= maxActiveFaults)
         return;
-    // Lower seeds keep the faults that they had before thin links were added at the end of the list.
-    const size_t kinds = faultKinds().size() - (m_settings.seed < firstSeedWithThinLinks ? thinLinkKinds : 0);
+    // Kinds are listed in ascending order of their first seed.
+    const auto kinds = static_cast<size_t>(std::ranges::count_if(
+        faultKinds(), [this](const FaultKind& kind) { return kind.firstSeed <= m_settings.seed; }));
     const FaultKind& kind = faultKinds()[random(kinds)];
     const size_t target = random((this->*kind.targetCount)());
-    const Duration length { static_cast<int64_t>(300 + random(4000)) };
+    const Duration length
+        = kind.shortest + Duration { static_cast<int64_t>(random((kind.longest - kind.shortest).count())) };
     m_faultHistory.push_back(std::to_string((m_clock.now() - m_startedAt).count()) + " ms " + kind.name + " "
         + std::to_string(target) + " for " + std::to_string(length.count()) + " ms");
     ++m_faultCount;
@@ -317,6 +344,12 @@
     // A run without a single start checks nothing.
     if (m_invariants.starts() == 0)
         m_invariants.violation("no task was started");
+    // Cuts between an entry and an agent have no effect on connections of unknown entries.
+    for (size_t agent = 0; agent < m_settings.agents; ++agent) {
+        if (ownerLink(agent).knownClients() == 0)
+            m_invariants.violation(
+                "no entry is known that connected to " + m_programs[m_settings.entries + agent].name);
+    }
     return m_invariants.violations().empty();
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -50,6 +50,11 @@
         void (Soak::*begin)(size_t target);
         void (Soak::*end)(size_t target);
         size_t (Soak::*targetCount)() const;
+        uint64_t firstSeed {
+            0
+        }; ///< Lower seeds do not draw the kind, so they keep the faults that they had without it.
+        Duration shortest { 300 };
+        Duration longest { 4300 };
     };
 
     struct ActiveFault {
@@ -71,6 +76,7 @@
 
     Result<void> startAll();
     void startProgram(Program& program);
+    std::optional<size_t> findEntry(uint16_t port, uint16_t peerPort) const;
     void writeConfiguration();
 
     void injectFault();
@@ -90,6 +96,8 @@
     size_t singleTarget() const { return 1; }
     size_t programCount() const { return m_programs.size(); }
     size_t agentCount() const { return m_settings.agents; }
+    /// Pairs of entry and agent; those of entry 0 come first.
+    size_t pairCount() const { return m_settings.entries * m_settings.agents; }
     size_t workerCount() const { return m_workers.size(); }
     void noAction(size_t) { }
     void storeBusy(size_t) { m_store.setFault(StoreStandIn::Fault::Busy); }
@@ -119,6 +127,14 @@
     void ownerLinkThin(size_t agent) { ownerLink(agent).setFault(FaultProxy::Fault::Thin); }
     void ownerLinkReset(size_t agent) { ownerLink(agent).reset(); }
     void ownerLinkRecovers(size_t agent) { ownerLink(agent).setFault(FaultProxy::Fault::None); }
+    void setPairFault(size_t pair, FaultProxy::Fault fault)
+    {
+        ownerLink(pair % m_settings.agents).setClientFault(pair / m_settings.agents, fault);
+    }
+    void pairOrdersBlocked(size_t pair) { setPairFault(pair, FaultProxy::Fault::BlockToTarget); }
+    void pairReportsBlocked(size_t pair) { setPairFault(pair, FaultProxy::Fault::BlockToClient); }
+    void pairBlocked(size_t pair) { setPairFault(pair, FaultProxy::Fault::Blocked); }
+    void pairRecovers(size_t pair) { setPairFault(pair, FaultProxy::Fault::None); }
     void workerUnresponsive(size_t worker) { m_workers[worker]->setFault(WorkerStandIn::Fault::Unresponsive); }
     void workerLate(size_t worker) { m_workers[worker]->setFault(WorkerStandIn::Fault::Late); }
     void workerRecovers(size_t worker) { m_workers[worker]->setFault(WorkerStandIn::Fault::None); }
