Play a site of eleven agents with long-running jobs and series of faults

New kinds: the store refuses one process; several agents are killed at once; the owner is refused and agents are killed meanwhile; a new owner is cut off from agents that restart while the former one still reaches them; overlapping signals to several processes. All tasks of a long-running job that nobody cancelled have to run at the end, and none of a cancelled job.

--- a/tests/soak/InvariantChecker.cpp
+++ b/tests/soak/InvariantChecker.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/JobSpec.h"
 
+#include <algorithm>
+
 namespace hemlocklead::soak {
 
 namespace {
@@ -52,8 +54,8 @@
     if (state == "completed" && !job.isDone())
         violation(
             "job " + id + " is reported as completed, " + std::to_string(job.doneTasks.size()) + " tasks are done");
-    const bool mustBeKnown = job.mustFinish() && m_clock.now() - job.acceptedAt > visibilityBound;
-    if ((state == "none" && mustBeKnown) || (state == "failed" && job.mustFinish()))
+    const bool mustBeKnown = job.mustRun() && m_clock.now() - job.acceptedAt > visibilityBound;
+    if ((state == "none" && mustBeKnown) || (state == "failed" && job.mustRun()))
         violation("accepted job " + id + " is reported as " + state);
     if (state == "cancelled" && !job.cancelRequested)
         violation("job " + id + " is reported as cancelled, no caller cancelled it");
@@ -101,6 +103,22 @@
         job->doneTasks.insert(task);
 }
 
+size_t InvariantChecker::runningTasks(const std::string& id) const
+{
+    return static_cast<size_t>(std::ranges::count_if(
+        m_running, [prefix = id + "."](const auto& run) { return run.first.starts_with(prefix); }));
+}
+
+bool InvariantChecker::isSettled(const std::string& id) const
+{
+    const Job& job = m_jobs.at(id);
+    if (job.isCancelled())
+        return runningTasks(id) == 0;
+    if (!job.mustRun())
+        return true;
+    return job.isLongRunning ? runningTasks(id) == job.tasks : job.isDone();
+}
+
 void InvariantChecker::completionAcknowledged(const std::string& task) { m_acknowledgedTasks.insert(task); }
 
 void InvariantChecker::violation(const std::string& text) { m_violations.push_back(text); }
--- a/tests/soak/InvariantChecker.h
+++ b/tests/soak/InvariantChecker.h
@@ -13,10 +13,12 @@
 /// is kept as a line of text.
 class InvariantChecker {
 public:
-    /// A job of two steps; the second step starts after the first has completed.
+    /// A job of two steps; the second step starts after the first has completed. A long-running job has one step, whose
+    /// tasks run until the job is cancelled.
     struct Job {
         std::string payload;
         uint32_t tasks { 1 }; ///< In each step.
+        bool isLongRunning { false };
         bool accepted { false };
         Instant acceptedAt {};
         bool refused { false }; ///< Every try was answered as not run, or was never sent.
@@ -25,8 +27,10 @@
         std::set<std::string> doneTasks; ///< Tasks with a run that ended as `done`.
 
         bool isCancelled() const { return cancelledAt != Instant {}; }
-        bool mustFinish() const { return accepted && !cancelRequested; }
-        bool isDone() const { return doneTasks.size() == 2 * size_t { tasks }; }
+        /// Nothing but the system keeps the job from running to its end, or until the end of the soak.
+        bool mustRun() const { return accepted && !cancelRequested; }
+        size_t allTasks() const { return (isLongRunning ? size_t { 1 } : size_t { 2 }) * tasks; }
+        bool isDone() const { return !isLongRunning && doneTasks.size() == allTasks(); }
     };
 
     explicit InvariantChecker(const Clock& clock);
@@ -46,6 +50,13 @@
     void runStarted(const std::string& task, uint32_t attempt, const std::string& payload, const std::string& host);
     void runEnded(const std::string& task, const std::string& host, bool done);
 
+    /// Number of tasks of the job that run now.
+    size_t runningTasks(const std::string& id) const;
+
+    /// Whether the job is in the state that its callers' requests lead to: done, with all tasks running if it is
+    /// long-running, or with none if its cancellation was acknowledged. Jobs that lead to no one state always are.
+    bool isSettled(const std::string& id) const;
+
     /// The agent acknowledged to the worker the end of a run of the task as `done`.
     void completionAcknowledged(const std::string& task);
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -1,9 +1,11 @@
 #include "soak/Soak.h"
 
+#include "dispatch/JobRegistry.h"
 #include "soak/SocketOwner.h"
 #include "state/Json.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 
@@ -19,19 +21,22 @@
     constexpr Duration callerTimeout { 3000 };
     constexpr Duration retryDelay { 300 };
     constexpr int maxSubmitTries = 5;
-    constexpr size_t maxActiveFaults = 3; ///< Active at the same time.
+    constexpr size_t longRunningOneIn = 4; ///< Share of the jobs that are long-running, if there are any.
 
     /// A new owner takes the leases of a host that it no longer reaches for ended after 5.4 s; cuts end before and
     /// after that.
     constexpr Duration shortestPairCut { 1000 };
     constexpr Duration longestPairCut { 9000 };
-    constexpr int64_t workerCpuMilli = 8000;
     constexpr uint64_t firstSeedWithThinLinks = 3000;
 
-    /// From this seed on, entries and agents are as many as at the largest of the users' sites that fit on one machine,
-    /// and faults may separate one entry from one agent.
+    /// From this seed on, the soak has as many entries and agents as the site of issue 31, workers of its size and
+    /// long-running jobs, and faults separate one entry from one agent or come in series.
     constexpr uint64_t firstSeedAtSiteScale = 8000;
 
+    /// For how long the store turns away the owner in a series; others replace the owner after about 3 s.
+    constexpr Duration ownerRefusalTime { 7000 };
+    constexpr size_t signalsInSeries = 8;
+
     std::string quoted(const Address& address) { return "\"" + address.text() + "\"\n"; }
 
 } // namespace
@@ -69,10 +74,36 @@
             shortestPairCut, longestPairCut },
         { "pair_silent", &Soak::pairBlocked, &Soak::pairRecovers, &Soak::pairCount, firstSeedAtSiteScale,
             shortestPairCut, longestPairCut },
+        { "link_refused", &Soak::storeLinkRefused, &Soak::storeLinkRecovers, &Soak::programCount, firstSeedAtSiteScale,
+            shortestPairCut, longestPairCut },
+        { "kill_agents", &Soak::killAgents, &Soak::noAction, &Soak::singleTarget, firstSeedAtSiteScale },
+        { "replace_owner_and_kill_agents", &Soak::replaceOwnerAndKillAgents, &Soak::noAction, &Soak::singleTarget,
+            firstSeedAtSiteScale },
+        { "separate_new_owner", &Soak::separateNewOwner, &Soak::noAction, &Soak::singleTarget, firstSeedAtSiteScale },
+        { "signal_series", &Soak::signalSeries, &Soak::noAction, &Soak::singleTarget, firstSeedAtSiteScale },
     };
     return faultKinds;
 }
 
+const Soak::FaultKind& Soak::faultKind(std::string_view name)
+{
+    return *std::ranges::find(faultKinds(), name, [](const FaultKind& kind) { return std::string_view(kind.name); });
+}
+
+Soak::Settings Soak::settingsOf(uint64_t seed)
+{
+    Settings settings { .seed = seed };
+    if (seed >= firstSeedAtSiteScale) {
+        settings.agents = 11;
+        settings.workerCpuMilli = 64'000;
+        settings.maxTasks = 6;
+        settings.hasLongRunningJobs = true;
+        settings.maxActiveFaults = 5;
+        settings.faultTime = Duration { 20'000 };
+    }
+    return settings;
+}
+
 Soak::Soak(Settings settings)
     : m_settings(settings)
     , m_random(settings.seed)
@@ -81,6 +112,11 @@
 
 size_t Soak::random(size_t below) { return std::uniform_int_distribution<size_t>(0, below - 1)(m_random); }
 
+Duration Soak::randomDuration(int64_t fromMs, int64_t toMs)
+{
+    return Duration { fromMs + static_cast<int64_t>(random(static_cast<size_t>(toMs - fromMs))) };
+}
+
 Result<void> Soak::startAll()
 {
     BOOST_LEAF_CHECK(m_store.listen(freeAddress()));
@@ -109,8 +145,8 @@
             BOOST_LEAF_CHECK(program.ownerProxy->listen(announced));
             text += "owners = " + quoted(owners) + "announce = " + quoted(announced) + "worker = " + quoted(worker)
                 + "control = " + quoted(control);
-            m_workers.push_back(
-                std::make_unique<WorkerStandIn>(m_loop, m_invariants, "worker-" + std::to_string(i), workerCpuMilli));
+            m_workers.push_back(std::make_unique<WorkerStandIn>(
+                m_loop, m_invariants, "worker-" + std::to_string(i), m_settings.workerCpuMilli));
             BOOST_LEAF_CHECK(m_workers.back()->listen(worker));
             m_workers.back()->setControl(control);
         }
@@ -144,17 +180,32 @@
     m_store.write("keyed.op", "config", jsonText({ { "version", 1 }, { "routes", { route } } }));
 }
 
+const Soak::FaultKind& Soak::randomFaultKind()
+{
+    // Kinds are listed in ascending order of their first seed.
+    const auto kindsBelow = [](uint64_t seed) {
+        return static_cast<size_t>(
+            std::ranges::count_if(faultKinds(), [seed](const FaultKind& kind) { return kind.firstSeed < seed; }));
+    };
+    const size_t kinds = kindsBelow(m_settings.seed + 1);
+    // Half of the faults are those that only the larger runs can play.
+    const size_t smallKinds = kindsBelow(firstSeedAtSiteScale);
+    if (kinds > smallKinds && random(2) == 0)
+        return faultKinds()[smallKinds + random(kinds - smallKinds)];
+    return faultKinds()[random(kinds)];
+}
+
 void Soak::injectFault()
 {
-    if (m_active.size() >= maxActiveFaults)
+    if (m_active.size() >= m_settings.maxActiveFaults)
         return;
-    // Kinds are listed in ascending order of their first seed.
-    const auto kinds = static_cast<size_t>(std::ranges::count_if(
-        faultKinds(), [this](const FaultKind& kind) { return kind.firstSeed <= m_settings.seed; }));
-    const FaultKind& kind = faultKinds()[random(kinds)];
+    const FaultKind& kind = randomFaultKind();
     const size_t target = random((this->*kind.targetCount)());
-    const Duration length
-        = kind.shortest + Duration { static_cast<int64_t>(random((kind.longest - kind.shortest).count())) };
+    beginFault(kind, target, randomDuration(kind.shortest.count(), kind.longest.count()));
+}
+
+void Soak::beginFault(const FaultKind& kind, size_t target, Duration length)
+{
     m_faultHistory.push_back(std::to_string((m_clock.now() - m_startedAt).count()) + " ms " + kind.name + " "
         + std::to_string(target) + " for " + std::to_string(length.count()) + " ms");
     ++m_faultCount;
@@ -162,6 +213,71 @@
     m_active.push_back({ &kind, target, m_clock.now() + length });
 }
 
+void Soak::scheduleFault(std::string_view kind, size_t target, Duration delay, Duration length)
+{
+    m_scheduled.emplace(m_clock.now() + delay, ScheduledFault { &faultKind(kind), target, length });
+}
+
+void Soak::beginScheduledFaults()
+{
+    while (!m_scheduled.empty() && m_scheduled.begin()->first <= m_clock.now()) {
+        const ScheduledFault fault = m_scheduled.extract(m_scheduled.begin()).mapped();
+        beginFault(*fault.kind, fault.target, fault.length);
+    }
+}
+
+size_t Soak::ownerEntry() const
+{
+    const Json owner = Json::parse(m_store.newestValue(dispatch::ownerKey), nullptr, false);
+    const std::string name = owner.is_object() ? owner.value("entry", std::string()) : std::string();
+    for (size_t i = 0; i < m_settings.entries; ++i) {
+        if (m_programs[i].name == name)
+            return i;
+    }
+    return 0;
+}
+
+void Soak::killAgents(size_t)
+{
+    const size_t first = random(m_settings.agents);
+    const size_t count = 2 + random(m_settings.agents - 1);
+    for (size_t i = 0; i < count; ++i)
+        scheduleFault("kill", m_settings.entries + (first + i) % m_settings.agents, Duration { 0 }, Duration { 0 });
+}
+
+void Soak::replaceOwnerAndKillAgents(size_t)
+{
+    scheduleFault("link_refused", ownerEntry(), Duration { 0 }, ownerRefusalTime);
+    scheduleFault("kill_agents", 0, randomDuration(2000, 5000), Duration { 0 });
+}
+
+void Soak::separateNewOwner(size_t)
+{
+    // Once a new owner has heard the agents, it is cut off from some of them, which are restarted meanwhile. The former
+    // owner, which the store turns away for longer than its authority, still reaches them.
+    const size_t owner = ownerEntry();
+    scheduleFault("link_refused", owner, Duration { 0 }, longestPairCut);
+    const Duration cutDelay = randomDuration(2800, 4500);
+    const size_t first = random(m_settings.agents);
+    const size_t count = 1 + random(m_settings.agents);
+    for (size_t i = 0; i < count; ++i) {
+        const size_t agent = (first + i) % m_settings.agents;
+        for (size_t entry = 0; entry < m_settings.entries; ++entry) {
+            if (entry != owner)
+                scheduleFault("pair_silent", entry * m_settings.agents + agent, cutDelay, longestPairCut);
+        }
+        scheduleFault("kill", m_settings.entries + agent, cutDelay + checkInterval, Duration { 0 });
+    }
+}
+
+void Soak::signalSeries(size_t)
+{
+    static constexpr std::array<std::string_view, 5> signals { "pause", "pause", "kill", "terminate", "reload" };
+    for (size_t i = 0; i < signalsInSeries; ++i)
+        scheduleFault(signals[random(signals.size())], random(m_programs.size()), randomDuration(0, 2500),
+            randomDuration(500, 4000));
+}
+
 void Soak::endExpiredFaults(bool all)
 {
     const Instant now = m_clock.now();
@@ -211,12 +327,22 @@
     std::array<char, 17> id {};
     std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(++m_nextJob));
     InvariantChecker::Job job;
-    job.tasks = static_cast<uint32_t>(1 + random(3));
-    job.payload = "ms=" + std::to_string(50 + random(900)) + " job " + id.data();
-    const Json step = { { "count", job.tasks }, { "cpu", 1000 }, { "memMb", 10 }, { "estimateMs", 500 } };
-    Json second = step;
-    second["after"] = { 0 };
-    const std::string body = jsonText({ { "spec", job.payload }, { "steps", { step, second } } });
+    job.isLongRunning = m_settings.hasLongRunningJobs && random(longRunningOneIn) == 0;
+    job.tasks = static_cast<uint32_t>(1 + random(m_settings.maxTasks));
+    const std::string milliseconds = std::to_string(50 + random(900));
+    Json step = { { "count", job.tasks }, { "cpu", 1000 }, { "memMb", 10 }, { "estimateMs", 500 } };
+    Json steps;
+    if (job.isLongRunning) {
+        job.payload = (random(2) == 0 ? "lasts" : "fails=" + milliseconds + "0") + " job " + id.data();
+        step["longRunning"] = true;
+        steps = { step };
+    } else {
+        job.payload = "ms=" + milliseconds + " job " + id.data();
+        Json second = step;
+        second["after"] = { 0 };
+        steps = { step, second };
+    }
+    const std::string body = jsonText({ { "spec", job.payload }, { "steps", steps } });
     m_invariants.add(id.data(), std::move(job));
     send(std::make_shared<Submission>(Submission { id.data(), body, maxSubmitTries }));
 }
@@ -284,11 +410,26 @@
         });
 }
 
-bool Soak::allJobsFinished() const
+bool Soak::allJobsSettled() const
 {
-    const auto& jobs = m_invariants.jobs();
     return std::ranges::all_of(
-        jobs, [](const auto& entry) { return !entry.second.mustFinish() || entry.second.isDone(); });
+        m_invariants.jobs(), [this](const auto& entry) { return m_invariants.isSettled(entry.first); });
+}
+
+void Soak::reportUnsettledJobs()
+{
+    for (const auto& [id, job] : m_invariants.jobs()) {
+        if (m_invariants.isSettled(id))
+            continue;
+        std::string text = "accepted job has not finished: ";
+        if (job.isCancelled())
+            text = "cancelled job has not ended: ";
+        else if (job.isLongRunning)
+            text = "accepted long-running job does not run: ";
+        text += id + ", " + std::to_string(m_invariants.runningTasks(id)) + " tasks are running and ";
+        text += std::to_string(job.doneTasks.size()) + " done of " + std::to_string(job.allTasks());
+        m_invariants.violation(text);
+    }
 }
 
 bool Soak::run()
@@ -309,6 +450,7 @@
     Timer submitTimer(m_loop);
     Timer queryTimer(m_loop);
     Timer checkTimer(m_loop);
+    bool areJobsSettled = false;
     const Instant faultsBegin = m_startedAt + warmUpTime;
     const Instant faultsEnd = faultsBegin + m_settings.faultTime;
     faultTimer.startRepeating(faultInterval, [&] {
@@ -326,21 +468,19 @@
     });
     checkTimer.startRepeating(checkInterval, [&] {
         const Instant now = m_clock.now();
+        if (now < faultsEnd)
+            beginScheduledFaults();
         restartEndedPrograms();
         endExpiredFaults(now >= faultsEnd);
         m_submitting = now < faultsEnd;
         // Waits for callers whose last try is in progress.
-        if (now >= faultsEnd + maxSubmitTries * (callerTimeout + retryDelay) && allJobsFinished())
-            m_loop.stop();
-        if (now >= faultsEnd + m_settings.finishTime)
+        areJobsSettled = now >= faultsEnd + maxSubmitTries * (callerTimeout + retryDelay) && allJobsSettled();
+        if (areJobsSettled || now >= faultsEnd + m_settings.finishTime)
             m_loop.stop();
     });
     m_loop.run();
-    for (const auto& [id, job] : m_invariants.jobs()) {
-        if (job.mustFinish() && !job.isDone())
-            m_invariants.violation("accepted job " + id + " has not finished, " + std::to_string(job.doneTasks.size())
-                + " tasks are done of " + std::to_string(2 * job.tasks));
-    }
+    if (!areJobsSettled)
+        reportUnsettledJobs();
     // A run without a single start checks nothing.
     if (m_invariants.starts() == 0)
         m_invariants.violation("no task was started");
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -6,7 +6,9 @@
 #include "support/ProcessRunner.h"
 
 #include <csignal>
+#include <map>
 #include <random>
+#include <string_view>
 
 namespace hemlocklead::soak {
 
@@ -19,11 +21,18 @@
         uint64_t seed { 1 };
         size_t entries { 3 };
         size_t agents { 4 };
+        int64_t workerCpuMilli { 8000 };
+        uint32_t maxTasks { 3 }; ///< Largest number of tasks of a step.
+        bool hasLongRunningJobs { false };
+        size_t maxActiveFaults { 3 }; ///< No further fault is drawn while as many are active.
         Duration faultTime { 15'000 }; ///< Time during which faults are injected.
         /// After the end of the last fault, accepted jobs must finish within this time.
         Duration finishTime { 30'000 };
     };
 
+    /// Settings that the soak runs a seed with.
+    static Settings settingsOf(uint64_t seed);
+
     explicit Soak(Settings settings);
 
     /// Runs the soak; returns whether no invariant was violated.
@@ -63,6 +72,13 @@
         Instant until;
     };
 
+    /// A fault that is part of a series and begins later than the series.
+    struct ScheduledFault {
+        const FaultKind* kind;
+        size_t target;
+        Duration length;
+    };
+
     /// A caller's tries to submit one job.
     struct Submission {
         std::string id;
@@ -73,6 +89,7 @@
     };
 
     static const std::vector<FaultKind>& faultKinds();
+    static const FaultKind& faultKind(std::string_view name);
 
     Result<void> startAll();
     void startProgram(Program& program);
@@ -80,6 +97,10 @@
     void writeConfiguration();
 
     void injectFault();
+    const FaultKind& randomFaultKind();
+    void beginFault(const FaultKind& kind, size_t target, Duration length);
+    void scheduleFault(std::string_view kind, size_t target, Duration delay, Duration length);
+    void beginScheduledFaults();
     void endExpiredFaults(bool all);
     void restartEndedPrograms();
     void submitJob();
@@ -90,8 +111,11 @@
     void cancelRandomJob();
     HttpRequest request(std::string method, const std::string& id) const;
     HttpClient& randomEntry();
-    bool allJobsFinished() const;
+    bool allJobsSettled() const;
+    void reportUnsettledJobs();
     size_t random(size_t below);
+    Duration randomDuration(int64_t fromMs, int64_t toMs);
+    size_t ownerEntry() const;
 
     size_t singleTarget() const { return 1; }
     size_t programCount() const { return m_programs.size(); }
@@ -116,6 +140,7 @@
         m_programs[target].storeProxy->setFault(FaultProxy::Fault::BlockToClient);
     }
     void storeLinkBlocked(size_t target) { m_programs[target].storeProxy->setFault(FaultProxy::Fault::Blocked); }
+    void storeLinkRefused(size_t target) { m_programs[target].storeProxy->setFault(FaultProxy::Fault::Refused); }
     void storeLinkReset(size_t target) { m_programs[target].storeProxy->reset(); }
     void storeLinkRecovers(size_t target) { m_programs[target].storeProxy->setFault(FaultProxy::Fault::None); }
     FaultProxy& ownerLink(size_t agent) { return *m_programs[m_settings.entries + agent].ownerProxy; }
@@ -145,6 +170,10 @@
     void terminate(size_t program) { end(program, SIGTERM); }
     void reload(size_t program) { m_runner.signal(m_programs[program].pid, SIGHUP); }
     void end(size_t program, int signal);
+    void killAgents(size_t);
+    void replaceOwnerAndKillAgents(size_t);
+    void separateNewOwner(size_t);
+    void signalSeries(size_t);
 
     Settings m_settings;
     std::mt19937_64 m_random;
@@ -157,6 +186,7 @@
     std::vector<Program> m_programs; ///< Entries, then agents.
     std::vector<std::unique_ptr<HttpClient>> m_callers; ///< One HTTP client for each entry.
     std::vector<ActiveFault> m_active;
+    std::multimap<Instant, ScheduledFault> m_scheduled; ///< By begin.
     std::vector<std::string> m_faultHistory; ///< Injected faults in the order of their start.
     std::vector<std::unique_ptr<Timer>> m_retries;
     size_t m_faultCount { 0 };
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -16,7 +16,7 @@
 
     bool runSeed(uint64_t seed)
     {
-        Soak soak({ .seed = seed });
+        Soak soak(Soak::settingsOf(seed));
         const bool passed = soak.run();
         size_t accepted = 0;
         for (const auto& [id, job] : soak.invariants().jobs())
--- a/tests/soak/StoreStandIn.cpp
+++ b/tests/soak/StoreStandIn.cpp
@@ -80,6 +80,17 @@
     m_topics[topic].records.push_back({ key, value, raw });
 }
 
+std::string StoreStandIn::newestValue(std::string_view key) const
+{
+    for (const auto& [name, topic] : m_topics) {
+        const auto newest = std::find_if(
+            topic.records.rbegin(), topic.records.rend(), [key](const Record& record) { return record.key == key; });
+        if (newest != topic.records.rend())
+            return newest->value;
+    }
+    return {};
+}
+
 void StoreStandIn::handle(const HttpRequest& request, const Responder& responder)
 {
     if (m_fault == Fault::Busy)
--- a/tests/soak/StoreStandIn.h
+++ b/tests/soak/StoreStandIn.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hemlocklead::soak {
@@ -34,6 +35,9 @@
     /// Appends a record without a fence, as the operator does.
     void write(const std::string& topic, const std::string& key, const std::string& value);
 
+    /// Value of the newest record with the key in any topic; empty if there is none.
+    std::string newestValue(std::string_view key) const;
+
 private:
     using Responder = std::shared_ptr<HttpResponder>;
 
--- a/tests/soak/WorkerStandIn.cpp
+++ b/tests/soak/WorkerStandIn.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <optional>
 
 namespace hemlocklead::soak {
 
@@ -23,10 +24,12 @@
         return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()).count();
     }
 
-    Duration runTime(const std::string& payload)
+    /// Number after `key` at the beginning of the payload; empty if the payload does not begin with the key.
+    std::optional<Duration> leadingDuration(const std::string& payload, std::string_view key)
     {
-        const size_t at = payload.find("ms=");
-        return Duration { at == std::string::npos ? 100 : std::strtoll(payload.c_str() + at + 3, nullptr, 10) };
+        if (!payload.starts_with(key))
+            return std::nullopt;
+        return Duration { std::strtoll(payload.c_str() + key.size(), nullptr, 10) };
     }
 
 } // namespace
@@ -134,7 +137,12 @@
         return conflict("room");
     const auto payload = body.value("spec", std::string());
     m_invariants.runStarted(task, attempt, payload, m_name);
-    m_running[task] = { attempt, m_clock.now() + runTime(payload) };
+    Run run { attempt, Instant::max(), {} };
+    if (const auto time = leadingDuration(payload, "ms="))
+        run = { attempt, m_clock.now() + *time, "done" };
+    else if (const auto timeToFailure = leadingDuration(payload, "fails="); timeToFailure && attempt == 1)
+        run = { attempt, m_clock.now() + *timeToFailure, "failed" };
+    m_running[task] = run;
     return accepted;
 }
 
@@ -208,7 +216,7 @@
         if (clockMs() > m_leaseUntilMs)
             ends.emplace_back(task, "lapsed");
         else if (now >= run.endsAt)
-            ends.emplace_back(task, "done");
+            ends.emplace_back(task, run.endReason);
     }
     for (const auto& [task, reason] : ends)
         end(task, reason);
--- a/tests/soak/WorkerStandIn.h
+++ b/tests/soak/WorkerStandIn.h
@@ -9,7 +9,8 @@
 namespace hemlocklead::soak {
 
 /// Stand-in for the worker next to one agent: runs tasks as timers under leases, lists their ends and reports its
-/// status. The payload of a task is `ms=N`, its run time, followed by any text.
+/// status. The payload of a task is `ms=N` for one that is done after N milliseconds, `lasts` for one that runs until
+/// it is stopped or `fails=N` for one that lasts, but whose first run fails after N milliseconds, followed by any text.
 class WorkerStandIn {
 public:
     enum class Fault : uint8_t {
@@ -36,6 +37,7 @@
     struct Run {
         uint32_t attempt;
         Instant endsAt;
+        std::string endReason;
     };
 
     struct End {
