Write the time of day of faults and violations into the soak's log

Cause: faults had times since the start of the soak, log lines the time of day, and violations none and only on standard output, so relating them took guesswork.

Change: faults and violations carry the time of day in the format of the log lines, and soak-SEED.log has both.

--- a/tests/soak/InvariantChecker.cpp
+++ b/tests/soak/InvariantChecker.cpp
@@ -1,6 +1,7 @@
 #include "soak/InvariantChecker.h"
 
 #include "dispatch/JobSpec.h"
+#include "soak/TimeOfDay.h"
 
 #include <algorithm>
 
@@ -121,6 +122,6 @@
 
 void InvariantChecker::completionAcknowledged(const std::string& task) { m_acknowledgedTasks.insert(task); }
 
-void InvariantChecker::violation(const std::string& text) { m_violations.push_back(text); }
+void InvariantChecker::violation(const std::string& text) { m_violations.push_back(timeOfDay() + " " + text); }
 
 } // namespace hemlocklead::soak
--- a/tests/soak/InvariantChecker.h
+++ b/tests/soak/InvariantChecker.h
@@ -10,7 +10,7 @@
 namespace hemlocklead::soak {
 
 /// Records the responses to callers and the runs of workers, and checks the invariants that relate them. Each violation
-/// is kept as a line of text.
+/// is kept as a line of text with the time of day at which it was noticed.
 class InvariantChecker {
 public:
     /// A job of two steps; the second step starts after the first has completed. A long-running job has one step, whose
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/JobRegistry.h"
 #include "soak/SocketOwner.h"
+#include "soak/TimeOfDay.h"
 #include "state/Json.h"
 
 #include <algorithm>
@@ -206,8 +207,8 @@
 
 void Soak::beginFault(const FaultKind& kind, size_t target, Duration length)
 {
-    m_faultHistory.push_back(std::to_string((m_clock.now() - m_startedAt).count()) + " ms " + kind.name + " "
-        + std::to_string(target) + " for " + std::to_string(length.count()) + " ms");
+    m_faultHistory.push_back(timeOfDay() + " " + std::to_string((m_clock.now() - m_startedAt).count()) + " ms "
+        + kind.name + " " + std::to_string(target) + " for " + std::to_string(length.count()) + " ms");
     ++m_faultCount;
     (this->*kind.begin)(target);
     m_active.push_back({ &kind, target, m_clock.now() + length });
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -1,6 +1,6 @@
 // Runs the fault soak for a range of seeds: soak FIRST [LAST]. The exit code is 1 when a seed violated an invariant;
-// the faults and logs of that seed are written to soak-SEED.log. The exit code is 2 for a usage error; a range without
-// a seed is one, since it would check nothing.
+// the violations, faults and logs of that seed are written to soak-SEED.log. The exit code is 2 for a usage error; a
+// range without a seed is one, since it would check nothing.
 #include "soak/Soak.h"
 
 #include "base/Log.h"
@@ -31,6 +31,8 @@
         std::ofstream file("soak-" + std::to_string(seed) + ".log");
         for (const std::string& fault : soak.faultHistory())
             file << fault << '\n';
+        for (const std::string& violation : soak.invariants().violations())
+            file << violation << '\n';
         file << soak.logs();
         return false;
     }
