Pass on what a soak proxy withheld on a connection that was closed

Cause: once a cut ended, the proxy dropped the withheld bytes of connections that one side had closed meanwhile. TCP delivers them, so orders of replaced connections reached no agent.

--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -49,6 +49,10 @@
     /// Blocks the connections of one client, also those that it opens later. `fault` is None or one that blocks.
     void setClientFault(size_t client, Fault fault);
 
+    /// After a fault, a connection that one side closed meanwhile first passes on the bytes that were withheld, as TCP
+    /// does once a network is connected again. Without this, they are lost.
+    void setPassesOnClosed(bool passesOn) { m_passesOnClosed = passesOn; }
+
     /// Number of connections whose client was known.
     size_t knownClients() const { return m_knownClients; }
 
@@ -71,6 +75,8 @@
     bool isBlocked(const ConnectionPair& pair, bool toTarget) const;
     bool isDisturbed(const ConnectionPair& pair) const;
     void applyFaults();
+    static void written(bufferevent*, void* pair);
+    void closeOnceWritten(ConnectionPair& pair);
     void forward(ConnectionPair& pair, bufferevent* from);
     void forwardDelayed();
     void closePair(ConnectionPair& pair, bool sendReset);
@@ -87,6 +93,7 @@
     ClientLookup m_clientLookup;
     uint16_t m_port { 0 }; ///< Where the proxy listens.
     size_t m_knownClients { 0 };
+    bool m_passesOnClosed { false };
     std::list<std::unique_ptr<ConnectionPair>> m_pairs;
     /// Readable sides of connections, by the time at which their bytes are forwarded.
     std::multimap<Instant, std::pair<ConnectionPair*, bufferevent*>> m_delayed;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -99,6 +99,7 @@
         settings.workerCpuMilli = 64'000;
         settings.maxTasks = 6;
         settings.hasLongRunningJobs = true;
+        settings.passesOnClosed = true;
         settings.maxActiveFaults = 5;
         settings.faultTime = Duration { 20'000 };
     }
@@ -143,6 +144,7 @@
             program.ownerProxy = std::make_unique<FaultProxy>(m_loop, owners);
             program.ownerProxy->setClientLookup(
                 [this](uint16_t port, uint16_t peerPort) { return findEntry(port, peerPort); });
+            program.ownerProxy->setPassesOnClosed(m_settings.passesOnClosed);
             BOOST_LEAF_CHECK(program.ownerProxy->listen(announced));
             text += "owners = " + quoted(owners) + "announce = " + quoted(announced) + "worker = " + quoted(worker)
                 + "control = " + quoted(control);
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -24,6 +24,7 @@
         int64_t workerCpuMilli { 8000 };
         uint32_t maxTasks { 3 }; ///< Largest number of tasks of a step.
         bool hasLongRunningJobs { false };
+        bool passesOnClosed { false }; ///< Orders and reports withheld on a closed connection arrive after the fault.
         size_t maxActiveFaults { 3 }; ///< No further fault is drawn while as many are active.
         Duration faultTime { 15'000 }; ///< Time during which faults are injected.
         /// After the end of the last fault, accepted jobs must finish within this time.
