Do not write a request whose timeout passed while the process was paused

An agent that was paused and resumed started tasks that it had decided on before the pause, seconds later, in a data centre that was out by then.

Cause: a call to the worker is written in a later pass of the loop than the decision, after the connection is established or found writable.

Change: an exchange has a second timer that ends it if the request is not written, and that runs before sockets. A pass of the loop ends after 100 ms, so that a pause within one handler is followed by these timers and not by the sockets that were found ready before it. A request that was written keeps its timer after the sockets: a response that arrived during the pause is read.

Conclusion: this is a cause of starts after the bound. What remains is a pause between the loop's look at its timers and the write.

--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -6,8 +6,30 @@
 
 namespace hemlocklead {
 
+namespace {
+
+    /// Number of values of `Timer::Priority`. libevent gives the middle one, 1, to all other events.
+    constexpr int priorities = 2;
+
+    /// A pass of the loop ends early after this time, so that a pause of the process within a callback is followed by
+    /// the timers that ran out meanwhile, not by sockets that were ready before. Below the shortest timeout that bounds
+    /// a start (1 s).
+    constexpr timeval maxPassTime { 0, 100'000 };
+
+    event_base* newBase()
+    {
+        event_config* config = event_config_new();
+        event_config_set_max_dispatch_interval(config, &maxPassTime, -1, static_cast<int>(Timer::Priority::Normal));
+        event_base* base = event_base_new_with_config(config);
+        event_config_free(config);
+        event_base_priority_init(base, priorities);
+        return base;
+    }
+
+} // namespace
+
 EventLoop::EventLoop()
-    : m_base(event_base_new())
+    : m_base(newBase())
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -47,9 +69,10 @@
     event_add(m_signals.back(), nullptr);
 }
 
-Timer::Timer(EventLoop& loop)
+Timer::Timer(EventLoop& loop, Priority priority)
     : m_event(evtimer_new(loop.native(), &Timer::fired, this))
 {
+    event_priority_set(m_event, static_cast<int>(priority));
 }
 
 Timer::~Timer() { event_free(m_event); }
--- a/src/transport/EventLoop.h
+++ b/src/transport/EventLoop.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 
+#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -45,7 +46,13 @@
 /// callback.
 class Timer {
 public:
-    explicit Timer(EventLoop& loop);
+    /// Order of the callbacks that are due in the same pass of the loop.
+    enum class Priority : uint8_t {
+        BeforeInputOutput, ///< Also after a pause of the process. For rare timers: input and output wait for them.
+        Normal, ///< After the sockets that are ready.
+    };
+
+    explicit Timer(EventLoop& loop, Priority priority = Priority::Normal);
     ~Timer();
     Timer(const Timer&) = delete;
     Timer& operator=(const Timer&) = delete;
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -84,11 +84,12 @@
 /// Exchange in progress. Has exclusive use of a connection until it ends.
 class HttpClient::Exchange {
 public:
-    Exchange(Core& core, evhttp_connection* connection, PendingRequest& request)
+    Exchange(Core& core, EventLoop& loop, evhttp_connection* connection, PendingRequest& request)
         : m_core(core)
         , m_connection(connection)
         , m_callback(std::move(request.callback))
         , m_timer(std::move(request.timer))
+        , m_sendTimer(loop, Timer::Priority::BeforeInputOutput)
         , m_timeout(request.timeout)
         , m_scope(request.scope)
     {
@@ -98,7 +99,8 @@
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
-    void start(const HttpRequest& request, const Address& address);
+    /// Ends the exchange if the request is not written within `sendTimeout`.
+    void start(const HttpRequest& request, const Address& address, Duration sendTimeout);
     void timedOut();
     evhttp_connection* connection() const { return m_connection; }
 
@@ -108,6 +110,8 @@
     static void inputChanged(evbuffer*, const evbuffer_cb_info* info, void* self);
     evbuffer* output() const { return bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)); }
     evbuffer* input() const { return bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection)); }
+    /// Whether the whole request was passed to the socket.
+    bool isWritten() const { return m_mayBeSent && evbuffer_get_length(output()) == 0; }
     void stopWatching();
     HttpExchange failedExchange() const;
     void finish(HttpExchange result);
@@ -117,6 +121,7 @@
     evhttp_request* m_native { nullptr };
     Callback m_callback;
     std::unique_ptr<Timer> m_timer;
+    Timer m_sendTimer;
     Duration m_timeout;
     TimeoutScope m_scope;
     bool m_watching { false };
@@ -172,8 +177,14 @@
     freeRetired();
 }
 
-void HttpClient::Exchange::start(const HttpRequest& request, const Address& address)
+void HttpClient::Exchange::start(const HttpRequest& request, const Address& address, Duration sendTimeout)
 {
+    m_sendTimer.startOnce(sendTimeout, [this] {
+        // `m_timer` limits the wait for the response. After a pause it fires later than a response that has arrived is
+        // read, but also later than a request that still waits for its socket is written.
+        if (!isWritten())
+            timedOut();
+    });
     m_native = evhttp_request_new(&Exchange::completed, this);
     evkeyvalq* headers = evhttp_request_get_output_headers(m_native);
     if (request.header("Host").empty())
@@ -280,10 +291,10 @@
         const std::unique_ptr<PendingRequest> next = std::move(*found);
         pending.erase(found);
         Timer* timer = next->timer.get();
-        running.push_back(std::make_unique<Exchange>(*this, takeConnection(), *next));
+        running.push_back(std::make_unique<Exchange>(*this, loop, takeConnection(), *next));
         Exchange* exchange = running.back().get();
         timer->setCallback([exchange] { exchange->timedOut(); });
-        exchange->start(next->request, address);
+        exchange->start(next->request, address, next->expiresAt - now);
     }
 }
 
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -14,12 +14,14 @@
 
     using Status = HttpExchange::Status;
 
-    /// Server that counts the requests and answers each at once.
+    /// Server that counts the requests and answers each after `delay`.
     struct RequestCounter {
+        Duration delay { 0 };
         std::atomic<int> requests { 0 };
         RawServer server { [this](int socket, int) {
             while (!rawReadMessage(socket).empty()) {
                 ++requests;
+                std::this_thread::sleep_for(delay);
                 rawWrite(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
             }
         } };
@@ -199,13 +201,81 @@
             client.send(makeRequest(), Duration { 1500 }, [&](HttpExchange exchange) { next = std::move(exchange); });
         });
         client.send(makeRequest(), Duration { 50 }, [&](HttpExchange exchange) { queued = std::move(exchange); });
-        runFor(Duration { 300 });
+        runFor(Duration { 700 });
         ASSERT_TRUE(queued && next);
         EXPECT_EQ(queued->status, Status::NotSent);
         EXPECT_EQ(next->status, Status::Answered);
         EXPECT_EQ(counter.requests, 2);
     }
 
+    // Guards against a start order that a worker gets long after it was decided: the process was paused between the
+    // decision and the write to the connection, which follows in a later pass of the loop.
+    TEST_F(HttpClientTest, client_pausedBeforeWrite_doesNotSendExpiredRequest)
+    {
+        RequestCounter counter;
+        HttpClient client(m_loop, counter.server.address(), 1);
+        EXPECT_EQ(send(client, makeRequest()).status, Status::Answered);
+        std::optional<HttpExchange> late;
+        client.send(makeRequest(), Duration { 50 }, [&](HttpExchange exchange) { late = std::move(exchange); });
+        usleep(100'000);
+        runFor(Duration { 300 });
+        ASSERT_TRUE(late);
+        EXPECT_NE(late->status, Status::Answered);
+        EXPECT_EQ(counter.requests, 1);
+    }
+
+    // Guards against the same on a connection that is not established yet.
+    TEST_F(HttpClientTest, client_pausedWhileConnecting_doesNotSendExpiredRequest)
+    {
+        RequestCounter counter;
+        HttpClient client(m_loop, counter.server.address(), 1);
+        std::optional<HttpExchange> late;
+        client.send(makeRequest(), Duration { 50 }, [&](HttpExchange exchange) { late = std::move(exchange); });
+        usleep(100'000);
+        runFor(Duration { 300 });
+        ASSERT_TRUE(late);
+        EXPECT_EQ(late->status, Status::NotSent);
+        EXPECT_EQ(counter.requests, 0);
+    }
+
+    // Guards against a write after a pause that falls into the handler of another connection, while the loop has
+    // already found the connection of the expired request writable.
+    TEST_F(HttpClientTest, client_pausedInOtherHandler_doesNotSendExpiredRequest)
+    {
+        RequestCounter slowCounter { Duration { 60 } };
+        RequestCounter counter;
+        HttpClient slow(m_loop, slowCounter.server.address(), 1);
+        HttpClient client(m_loop, counter.server.address(), 1);
+        EXPECT_EQ(send(client, makeRequest()).status, Status::Answered);
+        std::optional<HttpExchange> late;
+        slow.send(makeRequest(), Duration { 1500 }, [](const HttpExchange&) { usleep(300'000); });
+        Timer timer(m_loop);
+        timer.startOnce(Duration { 20 }, [&] {
+            // The response of the slow server arrives meanwhile, so that its handler is the first of the next pass.
+            usleep(400'000);
+            client.send(makeRequest(), Duration { 200 }, [&](HttpExchange exchange) { late = std::move(exchange); });
+        });
+        runFor(Duration { 1000 });
+        ASSERT_TRUE(late);
+        EXPECT_NE(late->status, Status::Answered);
+        EXPECT_EQ(counter.requests, 1);
+    }
+
+    // Guards against a response that counts as missing although it arrived in time and only its reader was paused.
+    TEST_F(HttpClientTest, client_pausedAfterWrite_takesResponse)
+    {
+        RequestCounter counter { Duration { 300 } };
+        HttpClient client(m_loop, counter.server.address(), 1);
+        std::optional<HttpExchange> result;
+        client.send(makeRequest(), Duration { 600 }, [&](HttpExchange exchange) { result = std::move(exchange); });
+        runFor(Duration { 200 });
+        EXPECT_EQ(counter.requests, 1);
+        usleep(500'000);
+        runFor(Duration { 100 });
+        ASSERT_TRUE(result);
+        EXPECT_EQ(result->status, Status::Answered);
+    }
+
     // Guards against a large response on a thin link that is abandoned and requested again for good: after a restart,
     // an owner never read the operators' records (review, 656 starts in a closed data centre).
     TEST_F(HttpClientTest, client_responseArrivesSlowly_timeoutLimitsOnlyItsPauses)
