--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -167,11 +167,10 @@
             }
         }
 
-        /// Places the task job.0.0.0 on host-1 as one owner, makes `second` the next one, which does not know whether
+        /// Places the task job.0.0.0 on host-1 as `first`, makes `second` the next owner, which does not know whether
         /// the former one has ended, and lets host-1 report to it once before it is lost.
-        void takeOverRun(Entry& second, bool epochFenced)
+        void takeOverRun(Entry& first, Entry& second, bool epochFenced)
         {
-            Entry first("entry-1", m_journal, m_timers, m_clock);
             becomeOwner(first);
             connect(first, "host-1");
             submit("job", { step(1, 1000) });
@@ -461,8 +460,9 @@
     // the former owner, which the new one cannot see, extended the leases through the new process (issue 31).
     TEST_F(DispatcherTest, hostLost_workerNotKnownToRefuseFormerOwner_tasksWaitForTheFormerOwnersLeases)
     {
+        Entry first("entry-1", m_journal, m_timers, m_clock);
         Entry second("entry-2", m_journal, m_timers, m_clock);
-        takeOverRun(second, false);
+        takeOverRun(first, second, false);
         // The former owner's last record is 2.4 s old: it may extend leases for another 5.6 s.
         runConnected(second, "host-2", Duration { 10'000 });
         EXPECT_TRUE(second.sender.starts.empty());
@@ -475,8 +475,9 @@
     // has seen.
     TEST_F(DispatcherTest, hostLost_agentOfEarlierBuildTookOver_tasksWaitForTheFormerOwnersLeases)
     {
+        Entry first("entry-1", m_journal, m_timers, m_clock);
         Entry second("entry-2", m_journal, m_timers, m_clock);
-        takeOverRun(second, true);
+        takeOverRun(first, second, true);
         second.dispatcher.hostConnected("host-1");
         HostReport report = reportOf("host-1");
         report.running = { { "job.0.0.0", 1, "", 50 } };
@@ -489,8 +490,9 @@
     // Guards against a wait for the former owner's leases on a host whose worker refuses the former owner.
     TEST_F(DispatcherTest, hostLost_workerRefusesFormerOwner_tasksRestartAfterOwnLeases)
     {
+        Entry first("entry-1", m_journal, m_timers, m_clock);
         Entry second("entry-2", m_journal, m_timers, m_clock);
-        takeOverRun(second, true);
+        takeOverRun(first, second, true);
         runConnected(second, "host-2", Duration { 6000 });
         ASSERT_EQ(second.sender.starts.size(), 1u);
         EXPECT_EQ(second.sender.starts[0].first, "host-2");
