--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -22,9 +22,8 @@
 /// It obeys only the highest owner epoch that it has seen, and of that owner only the newest connection: from a report
 /// on that one the owner may conclude that orders on an earlier one will not be carried out any more. Its fence begins
 /// with the epoch, so the worker refuses the calls of former owners also after the agent has restarted and forgotten
-/// which epochs it has seen. It extends the
-/// worker's leases only up to a fixed time after the reading of the worker's clock that the owner has echoed. It
-/// reports a start as refused only when the run can no longer start.
+/// which epochs it has seen. It extends the worker's leases only up to a fixed time after the reading of the worker's
+/// clock that the owner has echoed. It reports a start as refused only when the run can no longer start.
 class HostAgent {
 public:
     struct Settings {
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -54,15 +54,11 @@
     case Phase::Owner:
         // The follower has reset the job state and rebuilt it from the journal, which discarded decisions that were not
         // recorded yet. A new claim rebuilds the scheduler's state and fences the appends in flight.
-        if (m_follower.restarts() != m_restartsAtClaim) {
-            m_writer.close();
+        if (m_follower.restarts() != m_restartsAtClaim)
             return handleLoss();
-        }
         // The store may turn this entry's appends away for seconds before it refuses one for its epoch.
-        if (m_registry.owner().epoch > m_writer.epoch()) {
-            m_writer.close();
+        if (m_registry.owner().epoch > m_writer.epoch())
             return handleLoss();
-        }
         if (m_writer.isIdle() && now - m_writer.epochConfirmedAt() >= m_settings.heartbeatInterval)
             m_writer.commit({ { std::string(ownerKey), ownerValue(record(false)), 0 } }, [] {});
         return;
@@ -220,10 +216,8 @@
     // All records of the former owner precede the claim in the journal, but pages of the newest records are ordered by
     // key, so the claim may be read before them. Waits until the follower has caught up.
     const OwnerRecord& owner = m_registry.owner();
-    if (m_follower.isCaughtUp() && owner.epoch > m_writer.epoch()) {
-        m_writer.close();
+    if (m_follower.isCaughtUp() && owner.epoch > m_writer.epoch())
         return handleLoss();
-    }
     if (!m_follower.isCaughtUp() || owner.epoch != m_writer.epoch() || owner.incarnation != m_settings.incarnation)
         return;
     m_phase = Phase::Owner;
@@ -236,6 +230,7 @@
 {
     const bool wasOwner = m_phase == Phase::Owner;
     m_phase = Phase::Following;
+    m_writer.close();
     m_registry.setOwnEpoch(std::nullopt);
     LogEvent(LogLevel::Warning, "ownership_lost").field("epoch", m_writer.epoch()).field("was_owner", wasOwner ? 1 : 0);
     if (wasOwner)
