--- /dev/null
+++ b/scripts/service-by-size.sh
@@ -0,0 +1,78 @@
+#!/usr/bin/env bash
+# Shows how the long-running jobs in the logs of a site were served, by the size of the jobs. Reads the lines
+# `service_level` of all entries from the files given, or from standard input.
+#
+# usage: service-by-size.sh [--jobs] [FILE...]
+#   --jobs  also one line a job, largest first
+#
+# Shares are of the time of all tasks; `attained` counts an interfered task four times, as its users do.
+set -euo pipefail
+jobs=0
+if [ "${1:-}" = --jobs ]; then
+    jobs=1
+    shift
+fi
+cat "$@" | awk -v show_jobs=$jobs '
+function value(name,    i) {
+    for (i = 1; i <= NF; ++i)
+        if (index($i, name "=") == 1) return substr($i, length(name) + 2)
+    return ""
+}
+BEGIN { states = split("waiting starting over_target interfered served", state) }
+/event=service_level/ {
+    job = value("job")
+    size[job] = value("cpu_milli") + 0
+    tasks[job] = value("tasks") + 0
+    if (value("antagonist") != "") antagonist[job] = value("antagonist")
+    for (s = 1; s <= states; ++s) sum[job, s] += value(state[s] "_ms")
+}
+function total(job,    s, t) {
+    for (s = 1; s <= states; ++s) t += sum[job, s]
+    return t
+}
+function attained(waiting, starting, over, interfered,    left) {
+    left = 1 - waiting - starting - over - 4 * interfered
+    return left > 0 ? left : 0
+}
+function print_row(label, from, to,    i, s, t, all, part) {
+    for (i = from; i <= to; ++i) {
+        t = total(order[i])
+        all += t
+        for (s = 1; s <= states; ++s) part[s] += sum[order[i], s]
+        for (s = 1; s <= 4; ++s) share[s] = t > 0 ? sum[order[i], s] / t : 0
+        kept += t * attained(share[1], share[2], share[3], share[4])
+    }
+    if (all == 0) return
+    printf "%-14s %4d", label, to - from + 1
+    for (s = 1; s <= states; ++s) printf " %11.3f", part[s] / all
+    printf " %8.3f\n", kept / all
+    kept = 0
+}
+END {
+    count = 0
+    for (job in size) if (total(job) > 0) order[++count] = job
+    for (i = 2; i <= count; ++i)
+        for (k = i; k > 1 && size[order[k]] > size[order[k - 1]]; --k) {
+            swap = order[k]; order[k] = order[k - 1]; order[k - 1] = swap
+        }
+    printf "%-14s %4s", "jobs", "n"
+    for (s = 1; s <= states; ++s) printf " %11s", state[s]
+    printf " %8s\n", "attained"
+    tenth = int((count + 9) / 10)
+    fifth = int(count * 3 / 10 + 0.5)
+    if (fifth < tenth) fifth = tenth
+    print_row("largest tenth", 1, tenth)
+    if (fifth > tenth) print_row("next fifth", tenth + 1, fifth)
+    print_row("all", 1, count)
+    if (!show_jobs) exit
+    printf "\n%-18s %5s %10s %9s", "job", "tasks", "cpu_milli", "time_s"
+    for (s = 1; s <= states; ++s) printf " %11s", state[s]
+    printf " %8s antagonist\n", "attained"
+    for (i = 1; i <= count; ++i) {
+        job = order[i]
+        t = total(job)
+        printf "%-18s %5d %10d %9.1f", job, tasks[job], size[job], t / 1000 / tasks[job]
+        for (s = 1; s <= states; ++s) printf " %11.3f", sum[job, s] / t
+        printf " %8.3f %s\n", attained(sum[job, 1] / t, sum[job, 2] / t, sum[job, 3] / t, sum[job, 4] / t), antagonist[job]
+    }
+}'
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -217,7 +217,7 @@
         if (const Job* job = m_registry.find(id))
             open.push_back(job);
     }
-    m_serviceLevels.sample(open, m_hosts);
+    m_serviceLevels.sample(open, m_hosts, m_interference);
 }
 
 void Dispatcher::expireLeases()
--- /dev/null
+++ b/src/dispatch/ServiceAccount.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/Clock.h"
+
+namespace hemlocklead::dispatch {
+
+/// The share of its service that a long-running job has received: a mean over its life, in which old times fade.
+class ServiceAccount {
+public:
+    /// Times further back than this hardly count.
+    static constexpr Duration window { 60'000 };
+
+    ServiceAccount() = default;
+
+    /// An account that has been kept for `age`, with the mean share so far.
+    ServiceAccount(double attainedShare, Duration age)
+        : m_attainedShare(attainedShare)
+        , m_age(age)
+    {
+    }
+
+    /// Adds `elapsed`, during which the job received `share` of its service, from 0 to 1.
+    void add(double share, Duration elapsed);
+
+    /// 1 while nothing has been added.
+    double attainedShare() const { return m_attainedShare; }
+
+    /// Time that has been added, at most `window`.
+    Duration age() const { return m_age; }
+
+    bool operator==(const ServiceAccount&) const = default;
+
+private:
+    double m_attainedShare { 1 };
+    Duration m_age { 0 };
+};
+
+} // namespace hemlocklead::dispatch
--- a/src/dispatch/ServiceLevelMonitor.cpp
+++ b/src/dispatch/ServiceLevelMonitor.cpp
@@ -3,7 +3,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
-#include <set>
+#include <cmath>
 
 namespace hemlocklead::dispatch {
 
@@ -26,39 +26,41 @@
         return run == host->second.runs.end() ? nullptr : &run->second;
     }
 
-    State stateOf(const HostRegistry& hosts, const TaskId& id, const TaskState& task)
+    /// The best-effort image that uses the most headroom of the latency-critical image.
+    std::string strongestAntagonist(
+        const std::string& latencyCritical, const CoresByImage& bestEffort, const InterferenceModel& model)
     {
-        if (task.phase != TaskPhase::Placed)
-            return State::Waiting;
-        const HostRun* run = findRun(hosts, id, task);
-        if (!run || !run->seen)
-            return State::Starting;
-        if (run->tailPerMille <= atTargetPerMille)
-            return State::Served;
-        const CoresByImage bestEffort = hosts.hosts().at(task.host).bestEffortCores();
-        const bool isDisturbed = std::ranges::any_of(bestEffort, [](const auto& entry) { return entry.second > 0; });
-        return isDisturbed ? State::Interfered : State::OverTarget;
+        std::string strongest;
+        double most = 0;
+        for (const auto& [image, cores] : bestEffort) {
+            const double headroom = model.pair(latencyCritical, image).headroomPerCore * cores;
+            if (headroom > most || strongest.empty()) {
+                most = headroom;
+                strongest = image;
+            }
+        }
+        return strongest;
     }
 
-    struct LongRunningTotals {
-        uint32_t tasks { 0 };
-        int64_t cpuMilli { 0 }; ///< Declared processors of all tasks, thousandths of a core.
-        std::set<std::string> hosts; ///< Of the placed tasks.
+    struct TaskService {
+        State state { State::Served };
+        std::string antagonist; ///< Of an interfered task.
     };
 
-    LongRunningTotals totalsOf(const Job& job)
+    TaskService serviceOf(
+        const HostRegistry& hosts, const InterferenceModel& model, const TaskId& id, const TaskState& task)
     {
-        LongRunningTotals totals;
-        job.forEachTask([&](const TaskId& id, const TaskState& task) {
-            const StepSpec& step = job.spec().steps[id.step];
-            if (!step.longRunning)
-                return;
-            ++totals.tasks;
-            totals.cpuMilli += step.resources.cpuMilli;
-            if (task.phase == TaskPhase::Placed)
-                totals.hosts.insert(task.host);
-        });
-        return totals;
+        if (task.phase != TaskPhase::Placed)
+            return { State::Waiting, {} };
+        const HostRun* run = findRun(hosts, id, task);
+        if (!run || !run->seen)
+            return { State::Starting, {} };
+        if (run->tailPerMille <= atTargetPerMille)
+            return { State::Served, {} };
+        const CoresByImage bestEffort = hosts.hosts().at(task.host).bestEffortCores();
+        if (std::ranges::none_of(bestEffort, [](const auto& entry) { return entry.second > 0; }))
+            return { State::OverTarget, {} };
+        return { State::Interfered, strongestAntagonist(run->image, bestEffort, model) };
     }
 
 } // namespace
@@ -75,7 +77,8 @@
     return !m_sampledAt || m_clock.now() - *m_sampledAt >= m_settings.sampleInterval;
 }
 
-void ServiceLevelMonitor::sample(const std::vector<const Job*>& openJobs, const HostRegistry& hosts)
+void ServiceLevelMonitor::sample(
+    const std::vector<const Job*>& openJobs, const HostRegistry& hosts, const InterferenceModel& model)
 {
     const Instant now = m_clock.now();
     const Duration elapsed = m_sampledAt ? now - *m_sampledAt : Duration { 0 };
@@ -85,46 +88,80 @@
         if (std::ranges::none_of(job->spec().steps, &StepSpec::longRunning))
             continue;
         open.insert(job->id());
-        sampleJob(*job, hosts, elapsed);
+        sampleJob(*job, hosts, model, elapsed);
+    }
+    for (auto entry = m_jobs.begin(); entry != m_jobs.end();) {
+        if (open.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        log(entry->first, entry->second, true);
+        entry = m_jobs.erase(entry);
     }
-    std::erase_if(m_jobs, [&](const auto& entry) { return !open.contains(entry.first); });
 }
 
-void ServiceLevelMonitor::sampleJob(const Job& job, const HostRegistry& hosts, Duration elapsed)
+void ServiceLevelMonitor::sampleJob(
+    const Job& job, const HostRegistry& hosts, const InterferenceModel& model, Duration elapsed)
 {
-    JobTimes& sums = m_jobs.try_emplace(job.id(), JobTimes { {}, m_clock.now() }).first->second;
+    const auto [found, isNew] = m_jobs.try_emplace(job.id());
+    JobSums& sums = found->second;
+    if (isNew)
+        sums.since = m_clock.now();
+    sums.queue = job.policy().queue;
+    sums.tasks = 0;
+    sums.cpuMilli = 0;
+    sums.hosts.clear();
+    double lost = 0;
     job.forEachTask([&](const TaskId& id, const TaskState& task) {
-        if (job.spec().steps[id.step].longRunning)
-            sums.times[static_cast<size_t>(stateOf(hosts, id, task))] += elapsed;
+        const StepSpec& step = job.spec().steps[id.step];
+        if (!step.longRunning)
+            return;
+        ++sums.tasks;
+        sums.cpuMilli += step.resources.cpuMilli;
+        if (task.phase == TaskPhase::Placed)
+            sums.hosts.insert(task.host);
+        const TaskService service = serviceOf(hosts, model, id, task);
+        sums.times[static_cast<size_t>(service.state)] += elapsed;
+        if (service.state == State::Interfered) {
+            sums.interferedBy[service.antagonist] += elapsed;
+            lost += interferedWeight;
+        } else if (service.state != State::Served) {
+            lost += 1;
+        }
     });
+    if (sums.tasks == 0)
+        return;
+    sums.account.add(std::max(1 - lost / sums.tasks, 0.0), elapsed);
     if (m_clock.now() - sums.since >= m_settings.logInterval)
-        logIfDegraded(job, sums);
+        log(job.id(), sums, false);
 }
 
-void ServiceLevelMonitor::logIfDegraded(const Job& job, JobTimes& sums)
+void ServiceLevelMonitor::log(const std::string& job, JobSums& sums, bool ended)
 {
-    const Duration period = m_clock.now() - sums.since;
-    const Times times = std::exchange(sums, JobTimes { {}, m_clock.now() }).times;
+    const Duration period = m_clock.now() - std::exchange(sums.since, m_clock.now());
+    const Times times = std::exchange(sums.times, {});
+    const std::map<std::string, Duration> interferedBy = std::exchange(sums.interferedBy, {});
     for (size_t state = 0; state < stateCount; ++state)
         m_counters.add("long_running_task_ms{state=\"" + std::string(stateNames[state]) + "\"}", times[state].count());
-    const bool isDegraded = std::any_of(times.begin(), times.begin() + static_cast<size_t>(State::Served),
-        [](Duration time) { return time > Duration { 0 }; });
-    if (!isDegraded)
-        return;
-    const LongRunningTotals totals = totalsOf(job);
     LogEvent event(LogLevel::Info, "service_level");
-    event.field("job", job.id())
-        .field("queue", job.policy().queue)
-        .field("tasks", totals.tasks)
-        .field("cpu_milli", totals.cpuMilli)
-        .field("hosts", static_cast<uint64_t>(totals.hosts.size()))
+    event.field("job", job)
+        .field("queue", sums.queue)
+        .field("tasks", sums.tasks)
+        .field("cpu_milli", sums.cpuMilli)
+        .field("hosts", static_cast<uint64_t>(sums.hosts.size()))
         .field("period_ms", static_cast<int64_t>(period.count()));
     for (size_t state = 0; state < stateCount; ++state)
         event.field(std::string(stateNames[state]) + "_ms", static_cast<int64_t>(times[state].count()));
+    const auto strongest = std::ranges::max_element(interferedBy, {}, [](const auto& entry) { return entry.second; });
+    event.field("antagonist", strongest == interferedBy.end() ? std::string() : strongest->first)
+        .field("attained_per_mille", static_cast<int64_t>(std::lround(sums.account.attainedShare() * 1000)))
+        .field("ended", ended ? 1 : 0);
 }
 
 void ServiceLevelMonitor::reset()
 {
+    for (auto& [job, sums] : m_jobs)
+        log(job, sums, true);
     m_sampledAt.reset();
     m_jobs.clear();
 }
--- a/tests/unit/ServiceLevelMonitorTest.cpp
+++ b/tests/unit/ServiceLevelMonitorTest.cpp
@@ -49,7 +49,7 @@
             for (Duration passed { 0 }; passed < time; passed += Duration { 500 }) {
                 m_clock.advance(Duration { 500 });
                 ASSERT_TRUE(m_monitor.isDue());
-                m_monitor.sample({ &m_job }, m_hosts);
+                m_monitor.sample({ &m_job }, m_hosts, m_model);
             }
         }
 
@@ -61,6 +61,7 @@
         ManualClock m_clock;
         Counters m_counters;
         HostRegistry m_hosts;
+        InterferenceModel m_model;
         Job m_job { "job", {}, longRunningSpec(), 1, Instant {} };
         ServiceLevelMonitor m_monitor { m_clock, m_counters, {} };
     };
@@ -70,7 +71,7 @@
     {
         runTask(0, 1500);
         runBestEffortTask();
-        m_monitor.sample({ &m_job }, m_hosts);
+        m_monitor.sample({ &m_job }, m_hosts, m_model);
         sampleFor(Duration { 5000 });
         EXPECT_EQ(taskMs("waiting"), 5000);
         EXPECT_EQ(taskMs("interfered"), 5000);
@@ -83,7 +84,7 @@
     {
         runTask(0, 1500);
         runTask(1, 900);
-        m_monitor.sample({ &m_job }, m_hosts);
+        m_monitor.sample({ &m_job }, m_hosts, m_model);
         sampleFor(Duration { 5000 });
         EXPECT_EQ(taskMs("over_target"), 5000);
         EXPECT_EQ(taskMs("interfered"), 0);
@@ -94,14 +95,42 @@
     TEST_F(ServiceLevelMonitorTest, reset_ownershipChanged_countsFromTheNextSample)
     {
         runTask(0, 1500);
-        m_monitor.sample({ &m_job }, m_hosts);
+        m_monitor.sample({ &m_job }, m_hosts, m_model);
         m_clock.advance(Duration { 60'000 });
         m_monitor.reset();
-        m_monitor.sample({ &m_job }, m_hosts);
+        m_monitor.sample({ &m_job }, m_hosts, m_model);
         sampleFor(Duration { 5000 });
         EXPECT_EQ(taskMs("waiting"), 5000);
         EXPECT_EQ(taskMs("over_target"), 5000);
     }
 
+    // Guards against totals that miss the last seconds of a job.
+    TEST_F(ServiceLevelMonitorTest, jobEnds_withinAPeriod_isCountedToItsEnd)
+    {
+        runTask(0, 900);
+        m_monitor.sample({ &m_job }, m_hosts, m_model);
+        sampleFor(Duration { 2000 });
+        EXPECT_EQ(taskMs("served"), 0);
+        m_clock.advance(Duration { 500 });
+        m_monitor.sample({}, m_hosts, m_model);
+        EXPECT_EQ(taskMs("served"), 2000);
+        EXPECT_EQ(taskMs("waiting"), 2000);
+    }
+
+    // Guards against an account that follows the last seconds only, or that never forgets.
+    TEST(ServiceAccountTest, share_changes_isAveragedOverTheWindow)
+    {
+        ServiceAccount account;
+        EXPECT_EQ(account.attainedShare(), 1);
+        for (int i = 0; i < 20; ++i)
+            account.add(i % 2, Duration { 500 });
+        EXPECT_NEAR(account.attainedShare(), 0.5, 1e-9);
+        EXPECT_EQ(account.age(), Duration { 10'000 });
+        for (int i = 0; i < 600; ++i)
+            account.add(1, Duration { 500 });
+        EXPECT_GT(account.attainedShare(), 0.95);
+        EXPECT_EQ(account.age(), ServiceAccount::window);
+    }
+
 } // namespace
 } // namespace hemlocklead::dispatch
