Forecast the headroom of each job, not of all jobs of its image

Callers saw that single watches were served far less than the others of their kind (SHORT). The model of interference kept one baseline for each image, as if all jobs of an image had the same users.

The baseline is now kept for each job and image (Service), and what a best-effort image takes for each pair of images as before.

DispatcherTest.bestEffortTask_jobsOfOneImageDifferInLoad_isPlaced... failed on the code before.

Conclusion: one cause of the unequal shares is gone.

--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -101,7 +101,7 @@
             = run != host.runs.end() && run->second.seen && now - run->second.seenAt >= latencyCriticalWarmUp;
         if (isWarm && row.tailPerMille > 0) {
             const double ratio = static_cast<double>(row.tailPerMille) / 1000;
-            m_interference.observe(run->second.image, ratio, host.bestEffortUsage.cores(), now);
+            m_interference.observe(run->second.service(), ratio, host.bestEffortUsage.cores(), now);
         }
     }
     sendInterference(host);
@@ -260,6 +260,7 @@
     m_openJobs.erase(job.id());
     m_plans.erase(job.id());
     m_waitingSteps.removeJob(job.id());
+    m_interference.removeJob(job.id());
     m_endedJobs.emplace(job.id(), m_clock.now());
     markDirty(job);
     LogEvent(LogLevel::Info, "job_ended")
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -86,8 +86,8 @@
 {
     const double cores = static_cast<double>(step.resources.cpuMilli) / 1000;
     double tasks = 0;
-    for (const auto& [image, group] : host.latencyCriticalGroups) {
-        const auto after = model.withTask(group.forecast, image, step.image, cores);
+    for (const auto& [service, group] : host.latencyCriticalGroups) {
+        const auto after = model.withTask(group.forecast, service.image, step.image, cores);
         tasks += (after.overTargetProbability() - group.forecast.overTargetProbability()) * group.tasks;
     }
     return tasks;
--- a/src/dispatch/HostRegistry.cpp
+++ b/src/dispatch/HostRegistry.cpp
@@ -47,11 +47,11 @@
     latencyCriticalGroups.clear();
     for (const auto& [task, run] : runs) {
         if (run.longRunning)
-            ++latencyCriticalGroups[run.image].tasks;
+            ++latencyCriticalGroups[run.service()].tasks;
     }
     const CoresByImage usage = bestEffortCores();
-    for (auto& [image, group] : latencyCriticalGroups)
-        group.forecast = model.forecast(image, usage);
+    for (auto& [service, group] : latencyCriticalGroups)
+        group.forecast = model.forecast(service, usage);
 }
 
 void HostState::setSpeed(HostRun& run, int64_t speedPercent)
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -38,11 +38,13 @@
     bool stopping { false };
     Instant stopSentAt {};
 
+    Service service() const { return { task.job, image }; }
+
     /// Whether the run has been ordered and so may exist on the worker.
     bool isOrdered() const { return stage == Stage::Ordered || stage == Stage::Adopted; }
 };
 
-/// The latency-critical tasks of one image on a host.
+/// The tasks of one service on a host.
 struct LatencyCriticalGroup {
     uint32_t tasks { 0 };
     InterferenceModel::Forecast forecast; ///< Of their headroom next to the best-effort tasks on the host.
@@ -70,7 +72,7 @@
     bool isHeldFromShortTasks { false }; ///< Short tasks may not use what is held either.
     int64_t usageMilli { 0 }; ///< Expected use of all runs but the long-running ones, thousandths of a core.
     int64_t longRunningMilli { 0 }; ///< Declared processors of the long-running ones, thousandths of a core.
-    std::map<std::string, LatencyCriticalGroup> latencyCriticalGroups; ///< By image.
+    std::map<Service, LatencyCriticalGroup> latencyCriticalGroups;
     bool forecastsAreStale { true }; ///< `latencyCriticalGroups` must be recomputed.
     SmoothedUsage bestEffortUsage;
     std::optional<Instant> bestEffortRefusedAt; ///< Last refusal that protected latency-critical tasks.
--- a/src/dispatch/InterferenceModel.cpp
+++ b/src/dispatch/InterferenceModel.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hemlocklead::dispatch {
 
@@ -50,36 +51,37 @@
     return pair == found->second.pairs.end() ? defaultPair : pair->second;
 }
 
-void InterferenceModel::advance(ImageState& image, Instant now)
+void InterferenceModel::advance(ServiceState& service, Instant now)
 {
-    const double seconds = std::chrono::duration<double>(now - image.observedAt).count();
-    image.observedAt = now;
+    const double seconds = std::chrono::duration<double>(now - std::exchange(service.observedAt, now)).count();
     const double weight = 1 - std::exp(-seconds / trendSeconds);
-    image.smoothedBaseline += weight * (image.baseline - image.smoothedBaseline);
-    image.baselineVariance += baselineVariancePerSecond * std::min(seconds, maxGapSeconds);
+    service.smoothedBaseline += weight * (service.baseline - service.smoothedBaseline);
+    service.baselineVariance += baselineVariancePerSecond * std::min(seconds, maxGapSeconds);
+}
+
+void InterferenceModel::advance(ImageState& image, Instant now)
+{
+    const double seconds = std::chrono::duration<double>(now - std::exchange(image.observedAt, now)).count();
     for (auto& [bestEffort, pair] : image.pairs) {
         const double grownVariance = pair.variance + pairVariancePerSecond * seconds;
         pair.variance = std::min(grownVariance, priorHeadroomPerCore * priorHeadroomPerCore);
     }
 }
 
-void InterferenceModel::observe(
-    const std::string& latencyCritical, double tailRatio, const CoresByImage& usage, Instant now)
+void InterferenceModel::observe(const Service& service, double tailRatio, const CoresByImage& usage, Instant now)
 {
     if (tailRatio <= 0)
         return;
     const double headroom = std::min(1 / tailRatio, maxHeadroom);
-    const auto [found, isNew] = m_images.try_emplace(latencyCritical);
-    ImageState& image = found->second;
-    if (isNew) {
-        image.baseline = headroom;
-        image.smoothedBaseline = headroom;
-        image.baselineVariance = maxHeadroom;
-        image.observedAt = now;
-    }
+    const auto [found, isNew] = m_services.try_emplace(service);
+    ServiceState& state = found->second;
+    if (isNew)
+        state = { headroom, maxHeadroom, headroom, now };
+    advance(state, now);
+    ImageState& image = m_images.try_emplace(service.image, ImageState { {}, now }).first->second;
     advance(image, now);
-    double expected = image.baseline;
-    double variance = image.baselineVariance + measurementVariance;
+    double expected = state.baseline;
+    double variance = state.baselineVariance + measurementVariance;
     for (const auto& [bestEffort, cores] : usage) {
         const Pair& pair = image.pairs[bestEffort];
         expected -= pair.headroomPerCore * cores;
@@ -88,8 +90,8 @@
     if (headroom <= minHeadroom && expected <= minHeadroom)
         return;
     const double innovation = headroom - expected;
-    image.baseline = std::clamp(image.baseline + innovation * image.baselineVariance / variance, 0.0, maxHeadroom);
-    image.baselineVariance -= image.baselineVariance * image.baselineVariance / variance;
+    state.baseline = std::clamp(state.baseline + innovation * state.baselineVariance / variance, 0.0, maxHeadroom);
+    state.baselineVariance -= state.baselineVariance * state.baselineVariance / variance;
     for (const auto& [bestEffort, cores] : usage) {
         Pair& pair = image.pairs[bestEffort];
         const double gain = pair.variance * cores / variance;
@@ -98,20 +100,24 @@
     }
 }
 
-InterferenceModel::Forecast InterferenceModel::forecast(
-    const std::string& latencyCritical, const CoresByImage& usage) const
+InterferenceModel::Forecast InterferenceModel::forecast(const Service& service, const CoresByImage& usage) const
 {
-    const auto found = m_images.find(latencyCritical);
-    if (found == m_images.end())
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
         return { maxHeadroom / 2, maxHeadroom };
-    const ImageState& image = found->second;
-    const double trend = (image.baseline - image.smoothedBaseline) / trendSeconds;
-    Forecast forecast { image.baseline + trend * forecastSeconds, image.baselineVariance };
+    const ServiceState& state = found->second;
+    const double trend = (state.baseline - state.smoothedBaseline) / trendSeconds;
+    Forecast forecast { state.baseline + trend * forecastSeconds, state.baselineVariance };
     for (const auto& [bestEffort, cores] : usage)
-        forecast = withTask(forecast, latencyCritical, bestEffort, cores);
+        forecast = withTask(forecast, service.image, bestEffort, cores);
     return forecast;
 }
 
+void InterferenceModel::removeJob(const std::string& job)
+{
+    std::erase_if(m_services, [&](const auto& entry) { return entry.first.job == job; });
+}
+
 InterferenceModel::Forecast InterferenceModel::withTask(
     Forecast before, const std::string& latencyCritical, const std::string& bestEffort, double cores) const
 {
--- a/src/dispatch/InterferenceModel.h
+++ b/src/dispatch/InterferenceModel.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 
+#include <compare>
 #include <map>
 #include <string>
 
@@ -10,12 +11,21 @@
 /// Processor cores that best-effort tasks use on one host, by image.
 using CoresByImage = std::map<std::string, double>;
 
+/// The latency-critical tasks of one image that belong to one job. They share their users' load; jobs of the same image
+/// have users of their own.
+struct Service {
+    std::string job;
+    std::string image;
+
+    auto operator<=>(const Service&) const = default;
+};
+
 /// Estimates how much best-effort tasks slow latency-critical tasks down, from the tail latencies on all hosts.
 ///
 /// Tail latency grows as the inverse of the capacity that a latency-critical task has left. The model therefore uses
 /// the headroom, which is the target divided by the tail latency: 1 at the target, less above it. The baseline headroom
-/// of a latency-critical image depends on its users' load; each core of a best-effort image reduces it by an amount
-/// that is specific to the pair of images. Both are tracked by a Kalman filter without covariances.
+/// of a service depends on its users' load; each core of a best-effort image reduces it by an amount that is specific
+/// to the pair of images. Both are tracked by a Kalman filter without covariances.
 class InterferenceModel {
 public:
     /// Headroom of a latency-critical image that one core of a best-effort image uses.
@@ -39,10 +49,13 @@
 
     /// Updates the estimates from the tail latency of a latency-critical task, divided by its target, while best-effort
     /// tasks use `usage` on its host. Ignores a ratio of 0 or less, which is not a measurement.
-    void observe(const std::string& latencyCritical, double tailRatio, const CoresByImage& usage, Instant now);
+    void observe(const Service& service, double tailRatio, const CoresByImage& usage, Instant now);
 
-    /// Expected headroom of a task of the image within the next second while best-effort tasks use `usage`.
-    Forecast forecast(const std::string& latencyCritical, const CoresByImage& usage) const;
+    /// Expected headroom of a task of the service within the next second while best-effort tasks use `usage`.
+    Forecast forecast(const Service& service, const CoresByImage& usage) const;
+
+    /// Discards what is known of the services of a job. What is known of images stays.
+    void removeJob(const std::string& job);
 
     /// The forecast with one more task of the best-effort image that uses `cores`.
     Forecast withTask(
@@ -51,19 +64,25 @@
     const Pair& pair(const std::string& latencyCritical, const std::string& bestEffort) const;
 
 private:
-    /// State of a latency-critical image. The baseline is the headroom of its tasks without interference; it follows
-    /// their users' load.
-    struct ImageState {
+    /// The baseline is the headroom of the tasks without interference; it follows their users' load.
+    struct ServiceState {
         double baseline { 0 };
         double baselineVariance { 0 };
         double smoothedBaseline { 0 }; ///< Follows `baseline` with a delay; the difference gives its trend.
         Instant observedAt {};
+    };
+
+    /// The pairs of a latency-critical image, by best-effort image.
+    struct ImageState {
         std::map<std::string, Pair> pairs;
+        Instant observedAt {};
     };
 
-    void advance(ImageState& image, Instant now);
+    static void advance(ServiceState& service, Instant now);
+    static void advance(ImageState& image, Instant now);
 
-    std::map<std::string, ImageState> m_images;
+    std::map<Service, ServiceState> m_services;
+    std::map<std::string, ImageState> m_images; ///< By latency-critical image.
 };
 
 } // namespace hemlocklead::dispatch
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -208,6 +208,53 @@
             return report;
         }
 
+        /// A step of one task that serves users under a latency target.
+        static StepSpec servingStep(int64_t cpu)
+        {
+            StepSpec spec = longRunningStep(cpu);
+            spec.image = "serve";
+            spec.tailTargetMs = 100;
+            return spec;
+        }
+
+        /// Makes `entry` the owner of two jobs of one image, busy.0.0.0 on host-1 and calm.0.0.0 on host-2. Tail
+        /// latencies are in thousandths of the target.
+        void serveUsers(Entry& entry)
+        {
+            becomeOwner(entry);
+            connect(entry, "host-1");
+            submit("busy", { servingStep(3000) });
+            run(entry, Duration { 150 });
+            connect(entry, "host-2");
+            submit("calm", { servingStep(6000) });
+            run(entry, Duration { 150 });
+            ASSERT_EQ(entry.sender.starts.size(), 2u);
+            ASSERT_EQ(entry.sender.starts[1].first, "host-2");
+        }
+
+        /// Advances the time while both hosts report every 250 ms that their task serves at the given tail latency.
+        void reportTails(Entry& entry, Duration time, int64_t busyPerMille, int64_t calmPerMille)
+        {
+            for (Duration passed { 0 }; passed < time; passed += Duration { 250 }) {
+                HostReport report = reportOf("host-1");
+                report.running = { { "busy.0.0.0", 1, "", 100, 100, busyPerMille } };
+                entry.dispatcher.hostReported("host-1", report);
+                report = reportOf("host-2");
+                report.running = { { "calm.0.0.0", 1, "", 100, 100, calmPerMille } };
+                entry.dispatcher.hostReported("host-2", report);
+                run(entry, Duration { 250 });
+            }
+        }
+
+        /// A best-effort task of an image whose interference is not known.
+        static StepSpec fillingStep(int64_t cpu)
+        {
+            StepSpec spec = bestEffortStep(true);
+            spec.resources.cpuMilli = cpu;
+            spec.image = "fill";
+            return spec;
+        }
+
         static RunEnd endOf(uint64_t number, const RunOrder& order, const std::string& reason)
         {
             return { number, order.task, order.attempt, reason, "" };
@@ -1243,5 +1290,18 @@
         EXPECT_EQ(handler.phase("none", phase), JobRequestStatus::NotReady);
     }
 
+    // Guards against a watch that is served far less than others of its image (SHORT, issue 34): the load of its users
+    // was taken for that of all jobs of the image, so best-effort tasks came to its host when it was near its target.
+    TEST_F(DispatcherTest, bestEffortTask_jobsOfOneImageDifferInLoad_isPlacedBesideTheCalmOne)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        ASSERT_NO_FATAL_FAILURE(serveUsers(entry));
+        reportTails(entry, Duration { 8000 }, 800, 280);
+        submit("batch", { fillingStep(2000) });
+        reportTails(entry, Duration { 500 }, 800, 280);
+        ASSERT_EQ(entry.sender.starts.size(), 3u);
+        EXPECT_EQ(entry.sender.starts[2].first, "host-2");
+    }
+
 } // namespace
 } // namespace hemlocklead::dispatch
--- a/tests/unit/InterferenceTest.cpp
+++ b/tests/unit/InterferenceTest.cpp
@@ -106,9 +106,9 @@
             const Instant end = m_now + time;
             for (; m_now < end; m_now += Duration { 225 }) {
                 const double baseline = baselineHeadroom();
-                m_model.observe("serve", 1 / baseline, {}, m_now);
+                m_model.observe(serve, 1 / baseline, {}, m_now);
                 m_model.observe(
-                    "serve", 1 / std::max(baseline - headroomPerCore * cores, 0.08), { { "fill", cores } }, m_now);
+                    serve, 1 / std::max(baseline - headroomPerCore * cores, 0.08), { { "fill", cores } }, m_now);
             }
         }
 
@@ -121,10 +121,11 @@
 
         double overTargetProbability(double bestEffortCores) const
         {
-            return m_model.forecast("serve", { { "fill", bestEffortCores } }).overTargetProbability();
+            return m_model.forecast(serve, { { "fill", bestEffortCores } }).overTargetProbability();
         }
 
         static constexpr double cores = 8;
+        const Service serve { "watch", "serve" };
         Instant m_now { Duration { 1'000'000 } };
         InterferenceModel m_model;
     };
@@ -157,18 +158,42 @@
     TEST_F(InterferenceModelTest, interference_seenWithAndWithoutAnImage_isAttributedToTheOther)
     {
         for (int i = 0; i < 20; ++i, m_now += Duration { 450 })
-            m_model.observe("serve", 0.4, { { "calm", 8 } }, m_now);
+            m_model.observe(serve, 0.4, { { "calm", 8 } }, m_now);
         for (int i = 0; i < 8; ++i, m_now += Duration { 450 })
-            m_model.observe("serve", 3.0, { { "calm", 8 }, { "bad", 8 } }, m_now);
+            m_model.observe(serve, 3.0, { { "calm", 8 }, { "bad", 8 } }, m_now);
         EXPECT_GT(m_model.pair("serve", "bad").headroomPerCore, 2 * m_model.pair("serve", "calm").headroomPerCore);
         EXPECT_GT(m_model.pair("serve", "bad").headroomPerCore * 8, 0.5);
     }
 
+    // Guards against the forecast of one job's headroom from the load of another job's users: the load of two jobs of
+    // one image rises and falls at different times (issue 34).
+    TEST_F(InterferenceModelTest, jobsOfOneImage_loadsOutOfPhase_areForecastSeparately)
+    {
+        const Service other { "other", "serve" };
+        for (int i = 0; i < 80; ++i, m_now += Duration { 225 }) {
+            m_model.observe(serve, 1 / baselineHeadroom(), {}, m_now);
+            m_model.observe(other, 1 / (5 - baselineHeadroom()), {}, m_now);
+        }
+        EXPECT_NEAR(m_model.forecast(serve, {}).headroom, baselineHeadroom(), 0.4);
+        EXPECT_NEAR(m_model.forecast(other, {}).headroom, 5 - baselineHeadroom(), 0.4);
+    }
+
+    // Guards against jobs that learn what an image takes from them one by one, each at its users' cost.
+    TEST_F(InterferenceModelTest, interferenceSeenByOneJob_isKnownForOthersOfItsImage)
+    {
+        observeHosts(Duration { 5000 }, 0.3);
+        const Service other { "other", "serve" };
+        m_model.observe(other, 0.4, {}, m_now);
+        EXPECT_LT(m_model.forecast(other, { { "fill", cores } }).headroom, 1);
+        m_model.removeJob("watch");
+        EXPECT_NEAR(m_model.pair("serve", "fill").headroomPerCore, 0.3, 0.1);
+    }
+
     // Guards against learning from a reported value that is not a tail latency.
     TEST_F(InterferenceModelTest, tail_notKnown_isIgnored)
     {
-        m_model.observe("serve", 0, { { "fill", 8 } }, m_now);
-        m_model.observe("serve", -1, { { "fill", 8 } }, m_now);
+        m_model.observe(serve, 0, { { "fill", 8 } }, m_now);
+        m_model.observe(serve, -1, { { "fill", 8 } }, m_now);
         EXPECT_EQ(m_model.pair("serve", "fill").headroomPerCore, InterferenceModel::priorHeadroomPerCore);
     }
 
@@ -238,10 +263,10 @@
         m_registry.add(b, { "watch", 0, 0, 2 }, 1, latencyCritical, HostRun::Stage::Ordered);
         for (int i = 0; i < 20; ++i) {
             const Instant seenAt = m_now + i * Duration { 450 };
-            m_model.observe("fragile", 0.5, {}, seenAt);
-            m_model.observe("fragile", 3, { { "batch", 7 } }, seenAt);
-            m_model.observe("robust", 0.5, {}, seenAt);
-            m_model.observe("robust", 0.5, { { "batch", 7 } }, seenAt);
+            m_model.observe({ "watch", "fragile" }, 0.5, {}, seenAt);
+            m_model.observe({ "watch", "fragile" }, 3, { { "batch", 7 } }, seenAt);
+            m_model.observe({ "watch", "robust" }, 0.5, {}, seenAt);
+            m_model.observe({ "watch", "robust" }, 0.5, { { "batch", 7 } }, seenAt);
         }
         StepSpec bestEffort = step(7000);
         bestEffort.bestEffort = true;
