Limit the harm that late best-effort work may do to watches

Callers of watches saw them over their target beside batch work.

A late job now waits for a host within the limit, but no longer than 2 s when it has no run, so accepted work is still finished. The limit itself falls to 0.45: interference costs users four times what the task that causes it earns.

Evidence: DispatcherTest.lateBestEffortJob_hostsNearTheirTarget_... failed on the code before; ..._noHostHasRoom_isStartedInTime guards the other side and passed.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -57,8 +57,11 @@
                                            ///< ended for this long.
         Duration slackMargin { 300 }; ///< A best-effort task stops waiting for a better host this long before its slack
                                       ///< is used up: a start takes about 100 ms, a poll of the worker 450 ms.
-        double maxNewlyOverTarget { 0.7 }; ///< Expected number of latency-critical tasks that a best-effort task may
-                                           ///< push over their target while its job has slack.
+        /// Expected number of latency-critical tasks that a best-effort task may push over their target, while its job
+        /// has slack or after it has missed its objective.
+        double maxNewlyOverTarget { 0.45 };
+        /// A late job without a run waits no longer than this for a host within the limit: accepted work is finished.
+        Duration maxLateWait { 2000 };
         Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
                                        ///< long-running task. Most short tasks end within it.
         Duration moveTime { 1500 }; ///< Time that stopping a run and resuming it elsewhere takes. A best-effort run
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -68,7 +68,11 @@
     BestEffortLimits limits;
     limits.overcommit = now - job.lastEventAt() >= m_settings.overcommitDelay;
     const Duration slack = planOf(job).slack(step, now - job.seenAt());
-    const bool canWait = slack > m_settings.slackMargin;
+    // A job that has missed its objective is worth little to its caller, and no longer more than the users that its
+    // tasks would harm.
+    const bool isLate = slack < Duration { 0 };
+    const bool isStalled = !job.hasPlacedTasks() && now - job.lastEventAt() >= m_settings.maxLateWait;
+    const bool canWait = isLate ? !isStalled : slack > m_settings.slackMargin;
     limits.maxNewlyOverTarget = canWait && job.spec().repeats == 0 ? m_settings.maxNewlyOverTarget : unlimited;
     return limits;
 }
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -208,17 +208,17 @@
             return report;
         }
 
-        /// A step of one task that serves users under a latency target.
+        /// A step of two tasks that serve users under a latency target.
         static StepSpec servingStep(int64_t cpu)
         {
             StepSpec spec = longRunningStep(cpu);
+            spec.tasks = 2;
             spec.image = "serve";
             spec.tailTargetMs = 100;
             return spec;
         }
 
-        /// Makes `entry` the owner of two jobs of one image, busy.0.0.0 on host-1 and calm.0.0.0 on host-2. Tail
-        /// latencies are in thousandths of the target.
+        /// Makes `entry` the owner of two jobs of one image, `busy` on host-1 and `calm` on host-2.
         void serveUsers(Entry& entry)
         {
             becomeOwner(entry);
@@ -226,21 +226,25 @@
             submit("busy", { servingStep(3000) });
             run(entry, Duration { 150 });
             connect(entry, "host-2");
-            submit("calm", { servingStep(6000) });
+            submit("calm", { servingStep(3000) });
             run(entry, Duration { 150 });
-            ASSERT_EQ(entry.sender.starts.size(), 2u);
-            ASSERT_EQ(entry.sender.starts[1].first, "host-2");
+            ASSERT_EQ(entry.sender.starts.size(), 4u);
+            ASSERT_EQ(entry.sender.starts[2].first, "host-2");
+            ASSERT_EQ(entry.sender.starts[3].first, "host-2");
         }
 
-        /// Advances the time while both hosts report every 250 ms that their task serves at the given tail latency.
+        /// Advances the time while both hosts report every 250 ms that their tasks serve at the given tail latencies,
+        /// in thousandths of the target.
         void reportTails(Entry& entry, Duration time, int64_t busyPerMille, int64_t calmPerMille)
         {
             for (Duration passed { 0 }; passed < time; passed += Duration { 250 }) {
                 HostReport report = reportOf("host-1");
-                report.running = { { "busy.0.0.0", 1, "", 100, 100, busyPerMille } };
+                report.running = { { "busy.0.0.0", 1, "", 100, 100, busyPerMille },
+                    { "busy.0.0.1", 1, "", 100, 100, busyPerMille } };
                 entry.dispatcher.hostReported("host-1", report);
                 report = reportOf("host-2");
-                report.running = { { "calm.0.0.0", 1, "", 100, 100, calmPerMille } };
+                report.running = { { "calm.0.0.0", 1, "", 100, 100, calmPerMille },
+                    { "calm.0.0.1", 1, "", 100, 100, calmPerMille } };
                 entry.dispatcher.hostReported("host-2", report);
                 run(entry, Duration { 250 });
             }
@@ -255,6 +259,14 @@
             return spec;
         }
 
+        /// Submits a job of the step and lets it miss its objective: nothing is placed while no host reports.
+        void missObjective(Entry& entry, const StepSpec& step)
+        {
+            run(entry, Duration { 1600 });
+            submit("batch", { step });
+            run(entry, Duration { 1300 });
+        }
+
         static RunEnd endOf(uint64_t number, const RunOrder& order, const std::string& reason)
         {
             return { number, order.task, order.attempt, reason, "" };
@@ -1299,8 +1311,35 @@
         reportTails(entry, Duration { 8000 }, 800, 280);
         submit("batch", { fillingStep(2000) });
         reportTails(entry, Duration { 500 }, 800, 280);
-        ASSERT_EQ(entry.sender.starts.size(), 3u);
-        EXPECT_EQ(entry.sender.starts[2].first, "host-2");
+        ASSERT_EQ(entry.sender.starts.size(), 5u);
+        EXPECT_EQ(entry.sender.starts[4].first, "host-2");
+    }
+
+    // Guards against harm to users by work that is late anyway (SHORT, issue 34): a job that had missed its objective
+    // was placed beside watches without any limit.
+    TEST_F(DispatcherTest, lateBestEffortJob_hostsNearTheirTarget_waitsForOneWithRoom)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        ASSERT_NO_FATAL_FAILURE(serveUsers(entry));
+        reportTails(entry, Duration { 8000 }, 900, 900);
+        missObjective(entry, fillingStep(4000));
+        ASSERT_EQ(entry.sender.starts.size(), 4u);
+        reportTails(entry, Duration { 250 }, 900, 900);
+        EXPECT_EQ(entry.sender.starts.size(), 4u);
+        reportTails(entry, Duration { 400 }, 280, 280);
+        EXPECT_EQ(entry.sender.starts.size(), 5u);
+    }
+
+    // Guards against accepted work that is never finished: a late job must not wait for good beside busy watches.
+    TEST_F(DispatcherTest, lateBestEffortJob_noHostHasRoom_isStartedInTime)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        ASSERT_NO_FATAL_FAILURE(serveUsers(entry));
+        reportTails(entry, Duration { 8000 }, 900, 900);
+        missObjective(entry, fillingStep(4000));
+        ASSERT_EQ(entry.sender.starts.size(), 4u);
+        reportTails(entry, Duration { 1000 }, 900, 900);
+        EXPECT_EQ(entry.sender.starts.size(), 5u);
     }
 
 } // namespace
