Weigh harm to a watch by what it has received so far

Losses of a job do not even out: its image, hosts and size stay, so what it lost it goes on losing, and no decision knew of it. The account of each long-running job, so far only logged, now weighs its tasks when the host of a best-effort task is chosen: by the mean of all accounts over its own, from 0.6 to 3.

Evidence: DispatcherTest.bestEffortTask_oneJobWasServedWorse_... failed on the code before.

A new owner begins with empty accounts.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -157,6 +157,7 @@
     // Scheduling cycle.
     void expireLeases();
     void placeJobs();
+    void refreshForecasts(HostState& host) const;
     const JobPlan& planOf(const Job& job);
     int latenessClass(Job& job, Instant now);
     BestEffortLimits bestEffortLimits(const Job& job, uint32_t step, Instant now);
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -29,13 +29,18 @@
     for (auto& [name, host] : m_hosts.hosts()) {
         host.held = {};
         host.isHeldFromShortTasks = false;
-        host.refreshForecasts(m_interference);
+        refreshForecasts(host);
     }
     const PlacementContext context = placementContext();
     for (const auto& [key, job] : jobs)
         placeJob(*job, context);
 }
 
+void Dispatcher::refreshForecasts(HostState& host) const
+{
+    host.refreshForecasts(m_interference, [this](const std::string& job) { return m_serviceLevels.harmWeight(job); });
+}
+
 const JobPlan& Dispatcher::planOf(const Job& job)
 {
     const auto found = m_plans.find(job.id());
@@ -213,7 +218,7 @@
     task.percent = 0;
     job.setTaskPhase(id, TaskPhase::Placed);
     m_hosts.add(host, id, task.attempt, job.spec().steps[id.step], HostRun::Stage::AwaitingCommit);
-    host.refreshForecasts(m_interference);
+    refreshForecasts(host);
     m_pendingStarts.push_back({ host.name, id, task.attempt });
     m_ejector.notePlaced(host.name, now);
     m_counters.add("starts");
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -88,7 +88,8 @@
     double tasks = 0;
     for (const auto& [service, group] : host.latencyCriticalGroups) {
         const auto after = model.withTask(group.forecast, service.image, step.image, cores);
-        tasks += (after.overTargetProbability() - group.forecast.overTargetProbability()) * group.tasks;
+        tasks += (after.overTargetProbability() - group.forecast.overTargetProbability()) * group.tasks
+            * group.harmWeight;
     }
     return tasks;
 }
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -32,7 +32,7 @@
 };
 
 /// Expected number of latency-critical tasks on the host that one more task of the step pushes over their target, not
-/// counting those that are over it anyway.
+/// counting those that are over it anyway. Tasks of jobs that are behind others in service count for more.
 double newlyOverTarget(const StepSpec& step, const HostState& host, const InterferenceModel& model);
 
 /// Whether any new runs may be placed on the host.
--- a/src/dispatch/HostRegistry.cpp
+++ b/src/dispatch/HostRegistry.cpp
@@ -39,7 +39,8 @@
     return cores;
 }
 
-void HostState::refreshForecasts(const InterferenceModel& model)
+void HostState::refreshForecasts(
+    const InterferenceModel& model, const std::function<double(const std::string& job)>& weightOf)
 {
     if (!forecastsAreStale)
         return;
@@ -50,8 +51,10 @@
             ++latencyCriticalGroups[run.service()].tasks;
     }
     const CoresByImage usage = bestEffortCores();
-    for (auto& [service, group] : latencyCriticalGroups)
+    for (auto& [service, group] : latencyCriticalGroups) {
         group.forecast = model.forecast(service, usage);
+        group.harmWeight = weightOf(service.job);
+    }
 }
 
 void HostState::setSpeed(HostRun& run, int64_t speedPercent)
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -4,6 +4,7 @@
 #include "dispatch/SmoothedUsage.h"
 #include "protocol/DispatchMessages.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -47,6 +48,7 @@
 /// The tasks of one service on a host.
 struct LatencyCriticalGroup {
     uint32_t tasks { 0 };
+    double harmWeight { 1 }; ///< See harmWeight().
     InterferenceModel::Forecast forecast; ///< Of their headroom next to the best-effort tasks on the host.
 };
 
@@ -108,8 +110,9 @@
         return last.capacity.cpuMilli - usageMilli - longRunning;
     }
 
-    /// Recomputes `latencyCriticalGroups` if runs or their speeds have changed.
-    void refreshForecasts(const InterferenceModel& model);
+    /// Recomputes `latencyCriticalGroups` if runs or their speeds have changed. `weightOf` gives the weight of a job.
+    void refreshForecasts(
+        const InterferenceModel& model, const std::function<double(const std::string& job)>& weightOf);
 
     /// Whether the agent has paused best-effort tasks to protect latency-critical ones, would pause any that started
     /// now, or has just refused one for that reason.
--- a/src/dispatch/ServiceAccount.cpp
+++ b/src/dispatch/ServiceAccount.cpp
@@ -13,4 +13,14 @@
     m_attainedShare += weight * (share - m_attainedShare);
 }
 
+double harmWeight(double attainedShare, double meanAttainedShare)
+{
+    // A job that is far behind does not keep all best-effort work away, nor does one far ahead attract all of it.
+    constexpr double minWeight = 0.6;
+    constexpr double maxWeight = 3;
+    if (attainedShare * maxWeight <= meanAttainedShare)
+        return meanAttainedShare > 0 ? maxWeight : 1;
+    return std::clamp(meanAttainedShare / attainedShare, minWeight, maxWeight);
+}
+
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/ServiceAccount.h
+++ b/src/dispatch/ServiceAccount.h
@@ -35,4 +35,8 @@
     Duration m_age { 0 };
 };
 
+/// How much an interfered task of a job counts against a placement: 1 if the job has attained the mean share of its
+/// service, more if it is behind other jobs, less if it is ahead of them.
+double harmWeight(double attainedShare, double meanAttainedShare);
+
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/ServiceLevelMonitor.cpp
+++ b/src/dispatch/ServiceLevelMonitor.cpp
@@ -98,6 +98,10 @@
         log(entry->first, entry->second, true);
         entry = m_jobs.erase(entry);
     }
+    double attained = 0;
+    for (const auto& [job, sums] : m_jobs)
+        attained += sums.account.attainedShare();
+    m_meanAttainedShare = m_jobs.empty() ? 1 : attained / static_cast<double>(m_jobs.size());
 }
 
 void ServiceLevelMonitor::sampleJob(
@@ -158,6 +162,12 @@
         .field("ended", ended ? 1 : 0);
 }
 
+double ServiceLevelMonitor::harmWeight(const std::string& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? 1 : dispatch::harmWeight(found->second.account.attainedShare(), m_meanAttainedShare);
+}
+
 void ServiceLevelMonitor::reset()
 {
     for (auto& [job, sums] : m_jobs)
--- a/src/dispatch/ServiceLevelMonitor.h
+++ b/src/dispatch/ServiceLevelMonitor.h
@@ -44,6 +44,9 @@
     /// long-running steps.
     void sample(const std::vector<const Job*>& openJobs, const HostRegistry& hosts, const InterferenceModel& model);
 
+    /// The weight of harm to the job's tasks; see dispatch::harmWeight(). 1 for a job without an account.
+    double harmWeight(const std::string& job) const;
+
     /// Logs and discards all sums. The next sample only starts the measurement.
     void reset();
 
@@ -71,6 +74,7 @@
     Settings m_settings;
     std::optional<Instant> m_sampledAt;
     std::map<std::string, JobSums> m_jobs;
+    double m_meanAttainedShare { 1 }; ///< Of all jobs, as of the last sample.
 };
 
 } // namespace hemlocklead::dispatch
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -1342,5 +1342,19 @@
         EXPECT_EQ(entry.sender.starts.size(), 5u);
     }
 
+    // Guards against a job that goes on losing what it has lost so far (SHORT, issue 34): of two jobs that are equally
+    // near their target now, best-effort work has to come to the one that was served better before.
+    TEST_F(DispatcherTest, bestEffortTask_oneJobWasServedWorse_isPlacedBesideTheOther)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        ASSERT_NO_FATAL_FAILURE(serveUsers(entry));
+        reportTails(entry, Duration { 8000 }, 1200, 280);
+        reportTails(entry, Duration { 12'000 }, 800, 800);
+        submit("batch", { fillingStep(2000) });
+        reportTails(entry, Duration { 500 }, 800, 800);
+        ASSERT_EQ(entry.sender.starts.size(), 5u);
+        EXPECT_EQ(entry.sender.starts[4].first, "host-2");
+    }
+
 } // namespace
 } // namespace hemlocklead::dispatch
--- a/tests/unit/InterferenceTest.cpp
+++ b/tests/unit/InterferenceTest.cpp
@@ -217,7 +217,7 @@
             const StepSpec& step, const PlacementConstraints& constraints = { "service", "", {}, "" })
         {
             for (auto& [name, host] : m_registry.hosts())
-                host.refreshForecasts(m_model);
+                host.refreshForecasts(m_model, [](const std::string&) { return 1.0; });
             const PlacementContext context { m_registry.hosts(), m_closed, [](const std::string&) { return false; },
                 m_now, Duration { 1500 }, m_model };
             return chooseHost(step, constraints, context, m_limits);
