Hold room by the scarcest resource, not by processors

One cause is possible by the code: the host that is kept from short tasks after maxHoldTime was the one with the most free processors. Best-effort tasks reserve memory only, so a host whose memory is used for a long time came first, while short best-effort tasks kept taking the memory that came free on another. The hosts are now ordered by the available share of the resource of which the smallest share is available.

Evidence: DispatcherTest.longRunningTaskNeedsMemory_bestEffortStreamUsesIt_... failed on the code before: the task had not started when the test ended, 11.4 s after it was submitted (bound 6 s). It passes now, and so do the other tests of DispatcherTest.

Conclusion: this wait is bounded if the memory of the host that comes first comes free.

--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 
 namespace hemlocklead::dispatch {
 
@@ -38,6 +39,20 @@
         return needed;
     }
 
+    /// The available share of what is needed, of the resource of which the smallest share is available.
+    double availableShare(const Resources& needed, const Resources& available)
+    {
+        double smallest = std::numeric_limits<double>::infinity();
+        const auto consider = [&](int64_t amountNeeded, int64_t amountAvailable) {
+            if (amountNeeded > 0)
+                smallest = std::min(smallest, static_cast<double>(amountAvailable) / static_cast<double>(amountNeeded));
+        };
+        consider(needed.cpuMilli, available.cpuMilli);
+        consider(needed.memoryMib, available.memoryMib);
+        consider(needed.accelerators, available.accelerators);
+        return smallest;
+    }
+
     bool withinHostLimit(const StepSpec& step, const PlacementConstraints& constraints, const HostState& host)
     {
         if (step.maxPerHost == 0)
@@ -133,8 +148,10 @@
             && isUsable(host, context))
             candidates.push_back(&host);
     }
+    // Best-effort tasks reserve memory only, so free processors alone do not show how much a host lacks. A host held
+    // from short tasks gets no younger tasks, so another host comes before it only by lacking less.
     std::ranges::stable_sort(
-        candidates, std::greater {}, [](const HostState* host) { return host->available().cpuMilli; });
+        candidates, std::greater {}, [&](const HostState* host) { return availableShare(needed, host->available()); });
     std::vector<std::string> chosen;
     for (const HostState* host : candidates) {
         Resources room = host->availableAfterShortRuns();
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -936,6 +936,60 @@
         EXPECT_GT(entry.sender.starts.size(), 8u);
     }
 
+    // Load pattern: the host with the most free processors has no free memory for a long time, and best-effort tasks
+    // keep using the memory of the other. Guards against holding the first one only: the watch then waits for as long
+    // as its memory is used, while room on the other comes free all the time (issue 22).
+    TEST_F(DispatcherTest, longRunningTaskNeedsMemory_bestEffortStreamUsesIt_startsWithinBoundedTime)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-2");
+        submit("a-watch", { longRunningStep(2000) });
+        run(entry, Duration { 150 });
+        connect(entry, "host-1");
+        StepSpec filler = bestEffortStep(false);
+        filler.resources.memoryMib = 7000;
+        submit("b-filler", { filler });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 2u);
+        ASSERT_EQ(entry.sender.starts[1].first, "host-1");
+        StepSpec brief = bestEffortStep(false);
+        brief.resources.memoryMib = 3500;
+        StepSpec large = longRunningStep(2000);
+        large.resources.memoryMib = 6000;
+        const auto isLarge = [](const auto& start) { return start.second.task == "large.0.0.0"; };
+        const auto isBrief = [](const auto& start) { return start.second.task.starts_with("brief-"); };
+        std::map<std::string, Duration> startedAt; // By task.
+        std::map<std::string, uint64_t> ends; // By host.
+        const Duration submittedAt { 600 };
+        Duration time { 0 };
+        for (; time < Duration { 12'000 } && std::ranges::none_of(entry.sender.starts, isLarge);
+             time += Duration { 200 }) {
+            submit("brief-" + std::to_string(time.count()), { brief });
+            if (time == submittedAt)
+                submit("large", { large });
+            run(entry, Duration { 200 });
+            std::map<std::string, HostReport> reports { { "host-1", reportOf("host-1") },
+                { "host-2", reportOf("host-2") } };
+            for (auto& [host, report] : reports) {
+                report.settledOrders = 1000;
+                for (const auto& start : entry.sender.starts) {
+                    if (start.first != host)
+                        continue;
+                    const auto& order = start.second;
+                    const Duration started = startedAt.try_emplace(order.task, time).first->second;
+                    if (!isBrief(start) || time - started < Duration { 400 })
+                        report.running.push_back({ order.task, 1, "", 50 });
+                    else if (time - started == Duration { 400 })
+                        report.ends.push_back(endOf(++ends[host], order, "done"));
+                }
+                entry.dispatcher.hostReported(host, report);
+            }
+        }
+        EXPECT_GE(time - submittedAt, Duration { 3000 }); // The stream uses the memory until then.
+        EXPECT_LE(time - submittedAt, Duration { 6000 });
+    }
+
     // Load pattern: best-effort tasks interfere with latency-critical ones on some hosts and not on others. Guards
     // against a paused best-effort task that stays where it interferes, and interferes again each time it resumes
     // (issue 19).
