Let a late best-effort step go on when none of its runs works

The wait of a late job for a host with room ended only when the job had no placed task at all: a paused run, or a task of another step, kept its other tasks waiting without a bound. The wait is now that of the step, counts only runs that work, and is 1.5 s, since a start and the report of it take up to 0.6 s of the 3 s in which accepted work must have something running. Long-running steps are not limited by lateness: their tasks have no end to be late for.

DispatcherTest.lateBestEffortJob_onlyRunIsPaused_... failed on the code before.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -60,8 +60,9 @@
         /// Expected number of latency-critical tasks that a best-effort task may push over their target, while its job
         /// has slack or after it has missed its objective.
         double maxNewlyOverTarget { 0.45 };
-        /// A late job without a run waits no longer than this for a host within the limit: accepted work is finished.
-        Duration maxLateWait { 2000 };
+        /// A late step of which no run works waits no longer than this for a host within the limit: accepted work is
+        /// finished, and has something running within 3 s while there is capacity.
+        Duration maxLateWait { 1500 };
         Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
                                        ///< long-running task. Most short tasks end within it.
         Duration moveTime { 1500 }; ///< Time that stopping a run and resuming it elsewhere takes. A best-effort run
@@ -160,7 +161,8 @@
     void refreshForecasts(HostState& host) const;
     const JobPlan& planOf(const Job& job);
     int latenessClass(Job& job, Instant now);
-    BestEffortLimits bestEffortLimits(const Job& job, uint32_t step, Instant now);
+    bool hasWorkingRun(const StepState& state, const TaskId& firstTask) const;
+    BestEffortLimits bestEffortLimits(Job& job, uint32_t occurrence, uint32_t step, Instant now);
     void placeJob(Job& job, const PlacementContext& context);
     void placeStep(Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context);
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -68,7 +68,22 @@
     return result;
 }
 
-BestEffortLimits Dispatcher::bestEffortLimits(const Job& job, uint32_t step, Instant now)
+bool Dispatcher::hasWorkingRun(const StepState& state, const TaskId& firstTask) const
+{
+    TaskId id = firstTask;
+    return std::ranges::any_of(state.tasks, [&](const TaskState& task) {
+        id.index = static_cast<uint32_t>(&task - state.tasks.data());
+        if (task.phase != TaskPhase::Placed)
+            return false;
+        const auto host = m_hosts.hosts().find(task.host);
+        if (host == m_hosts.hosts().end())
+            return false;
+        const auto run = host->second.runs.find(id.text());
+        return run != host->second.runs.end() && run->second.speedPercent > 0;
+    });
+}
+
+BestEffortLimits Dispatcher::bestEffortLimits(Job& job, uint32_t occurrence, uint32_t step, Instant now)
 {
     BestEffortLimits limits;
     limits.overcommit = now - job.lastEventAt() >= m_settings.overcommitDelay;
@@ -76,8 +91,12 @@
     // A job that has missed its objective is worth little to its caller, and no longer more than the users that its
     // tasks would harm.
     const bool isLate = slack < Duration { 0 };
-    const bool isStalled = !job.hasPlacedTasks() && now - job.lastEventAt() >= m_settings.maxLateWait;
-    const bool canWait = isLate ? !isStalled : slack > m_settings.slackMargin;
+    const auto isStalled = [&] {
+        return now - job.lastEventAt() >= m_settings.maxLateWait
+            && !hasWorkingRun(job.occurrence(occurrence).steps[step], { job.id(), occurrence, step, 0 });
+    };
+    const bool isLongRunning = job.spec().steps[step].longRunning;
+    const bool canWait = isLate ? !isLongRunning && !isStalled() : slack > m_settings.slackMargin;
     limits.maxNewlyOverTarget = canWait && job.spec().repeats == 0 ? m_settings.maxNewlyOverTarget : unlimited;
     return limits;
 }
@@ -143,7 +162,7 @@
     const StepSpec& spec = job.spec().steps[step];
     StepState& state = job.occurrence(occurrence).steps[step];
     PlacementConstraints constraints = constraintsOf(job, state, spec);
-    const BestEffortLimits limits = bestEffortLimits(job, step, context.now);
+    const BestEffortLimits limits = bestEffortLimits(job, occurrence, step, context.now);
     std::string placed;
     double newlyOver = 0;
     bool foundNoHost = false;
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -374,7 +374,8 @@
         return;
     const StepState& state = job.occurrence(run.task.occurrence).steps[run.task.step];
     const PlacementContext context = placementContext();
-    if (!chooseHost(step, constraintsOf(job, state, step), context, bestEffortLimits(job, run.task.step, now)))
+    if (!chooseHost(step, constraintsOf(job, state, step), context,
+            bestEffortLimits(job, run.task.occurrence, run.task.step, now)))
         return;
     ++task.moves;
     m_counters.add("runs_moved");
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -264,7 +264,7 @@
         {
             run(entry, Duration { 1600 });
             submit("batch", { step });
-            run(entry, Duration { 1300 });
+            run(entry, Duration { 1100 });
         }
 
         static RunEnd endOf(uint64_t number, const RunOrder& order, const std::string& reason)
@@ -1380,7 +1380,9 @@
         ASSERT_EQ(entry.sender.starts.size(), 4u);
         reportTails(entry, Duration { 250 }, 900, 900);
         EXPECT_EQ(entry.sender.starts.size(), 4u);
-        reportTails(entry, Duration { 400 }, 280, 280);
+        // The bound on the wait counts from the last end of a run of the job.
+        entry.registry.find("batch")->noteEvent(m_clock.now());
+        reportTails(entry, Duration { 500 }, 280, 280);
         EXPECT_EQ(entry.sender.starts.size(), 5u);
     }
 
@@ -1410,5 +1412,35 @@
         EXPECT_EQ(entry.sender.starts[4].first, "host-2");
     }
 
+    // Guards against a late job that makes no progress: its only run is paused, and its other task waited for a host
+    // with room as if that run worked.
+    TEST_F(DispatcherTest, lateBestEffortJob_onlyRunIsPaused_otherTaskIsStartedInTime)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        ASSERT_NO_FATAL_FAILURE(serveUsers(entry));
+        reportTails(entry, Duration { 8000 }, 900, 900);
+        StepSpec filling = fillingStep(4000);
+        filling.tasks = 2;
+        filling.resources.memoryMib = 5000;
+        entry.dispatcher.setClosedDataCentres({ "b" });
+        missObjective(entry, filling);
+        reportTails(entry, Duration { 1000 }, 900, 900);
+        ASSERT_EQ(entry.sender.starts.size(), 5u);
+        entry.dispatcher.setClosedDataCentres({});
+        for (int i = 0; i < 4; ++i) {
+            HostReport report = reportOf("host-1");
+            report.settledOrders = 3;
+            report.running = { { "busy.0.0.0", 1, "", 100, 100, 900 }, { "busy.0.0.1", 1, "", 100, 100, 900 },
+                { "batch.0.0.0", 1, "", 10, 0 } };
+            entry.dispatcher.hostReported("host-1", report);
+            report = reportOf("host-2");
+            report.running = { { "calm.0.0.0", 1, "", 100, 100, 900 }, { "calm.0.0.1", 1, "", 100, 100, 900 } };
+            entry.dispatcher.hostReported("host-2", report);
+            run(entry, Duration { 250 });
+        }
+        ASSERT_EQ(entry.sender.starts.size(), 6u);
+        EXPECT_EQ(entry.sender.starts[5].first, "host-2");
+    }
+
 } // namespace
 } // namespace hemlocklead::dispatch
