Add known interference to the first headroom of a job

The first tail latency of a job was taken for its headroom without best-effort tasks, also beside them. The correction by the next one looked like a rising trend, so a host over its target was forecast to have room for about 1.8 s (worked out from the formula). That acted once for each image before, and once for each job since headroom is kept by job.

InterferenceModelTest.newJob_firstSeenBesideBestEffortTasks_... failed on the code before. Interference of unknown pairs is not added: the existing test interference_seenWithAndWithoutAnImage_... shows that it would be blamed on the wrong image.

--- a/src/dispatch/InterferenceModel.cpp
+++ b/src/dispatch/InterferenceModel.cpp
@@ -73,13 +73,20 @@
     if (tailRatio <= 0)
         return;
     const double headroom = std::min(1 / tailRatio, maxHeadroom);
+    ImageState& image = m_images.try_emplace(service.image, ImageState { {}, now }).first->second;
+    advance(image, now);
     const auto [found, isNew] = m_services.try_emplace(service);
     ServiceState& state = found->second;
-    if (isNew)
-        state = { headroom, maxHeadroom, headroom, now };
+    if (isNew) {
+        double baseline = headroom;
+        for (const auto& [bestEffort, cores] : usage) {
+            if (const auto known = image.pairs.find(bestEffort); known != image.pairs.end())
+                baseline += known->second.headroomPerCore * cores;
+        }
+        baseline = std::min(baseline, maxHeadroom);
+        state = { baseline, maxHeadroom, baseline, now };
+    }
     advance(state, now);
-    ImageState& image = m_images.try_emplace(service.image, ImageState { {}, now }).first->second;
-    advance(image, now);
     double expected = state.baseline;
     double variance = state.baselineVariance + measurementVariance;
     for (const auto& [bestEffort, cores] : usage) {
--- a/tests/unit/InterferenceTest.cpp
+++ b/tests/unit/InterferenceTest.cpp
@@ -189,6 +189,17 @@
         EXPECT_NEAR(m_model.pair("serve", "fill").headroomPerCore, 0.3, 0.1);
     }
 
+    // Guards against the first measurement of a job beside best-effort tasks being taken for its headroom without them:
+    // the correction then looked like a rising trend, and the host like one with room.
+    TEST_F(InterferenceModelTest, newJob_firstSeenBesideBestEffortTasks_isNotForecastToRecover)
+    {
+        observeHosts(Duration { 5000 }, 0.2);
+        const Service other { "other", "serve" };
+        m_model.observe(other, 1 / 0.6, { { "fill", 10 } }, m_now);
+        m_model.observe(other, 1 / 0.6, { { "fill", 10 } }, m_now + Duration { 225 });
+        EXPECT_LT(m_model.forecast(other, { { "fill", 10 } }).headroom, 0.9);
+    }
+
     // Guards against learning from a reported value that is not a tail latency.
     TEST_F(InterferenceModelTest, tail_notKnown_isIgnored)
     {
