Forget the headroom of jobs that have ended or passed to another owner

A run that was reported once more after its job had ended created the job's entry in the model again, and what a former ownership had learned of users' loads counted as current after minutes. Pairs of images are kept. Shown by reading; no test.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -127,6 +127,7 @@
     m_endedJobs.clear();
     m_ejector = StartEjector(ejectorSettings);
     m_serviceLevels.reset();
+    m_interference.removeServices();
     m_waitingSteps.clear();
 }
 
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -97,8 +97,9 @@
         return;
     for (const RunReport& row : report.running) {
         const auto run = host.runs.find(row.task);
-        const bool isWarm
-            = run != host.runs.end() && run->second.seen && now - run->second.seenAt >= latencyCriticalWarmUp;
+        // A run may be reported for a while after its job has ended.
+        const bool isWarm = run != host.runs.end() && run->second.seen && m_openJobs.contains(run->second.task.job)
+            && now - run->second.seenAt >= latencyCriticalWarmUp;
         if (isWarm && row.tailPerMille > 0) {
             const double ratio = static_cast<double>(row.tailPerMille) / 1000;
             m_interference.observe(run->second.service(), ratio, host.bestEffortUsage.cores(), now);
--- a/src/dispatch/InterferenceModel.h
+++ b/src/dispatch/InterferenceModel.h
@@ -2,9 +2,9 @@
 
 #include "base/Clock.h"
 
-#include <compare>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace hemlocklead::dispatch {
 
@@ -17,7 +17,8 @@
     std::string job;
     std::string image;
 
-    auto operator<=>(const Service&) const = default;
+    bool operator==(const Service&) const = default;
+    bool operator<(const Service& other) const { return std::tie(job, image) < std::tie(other.job, other.image); }
 };
 
 /// Estimates how much best-effort tasks slow latency-critical tasks down, from the tail latencies on all hosts.
@@ -57,6 +58,9 @@
     /// Discards what is known of the services of a job. What is known of images stays.
     void removeJob(const std::string& job);
 
+    /// Discards what is known of all services.
+    void removeServices() { m_services.clear(); }
+
     /// The forecast with one more task of the best-effort image that uses `cores`.
     Forecast withTask(
         Forecast before, const std::string& latencyCritical, const std::string& bestEffort, double cores) const;
