--- a/scripts/service-by-size.sh
+++ b/scripts/service-by-size.sh
@@ -23,7 +23,11 @@
     job = value("job")
     size[job] = value("cpu_milli") + 0
     tasks[job] = value("tasks") + 0
-    if (value("antagonist") != "") antagonist[job] = value("antagonist")
+    image = value("antagonist")
+    if (image != "" && image != "\"\"") {
+        slowed[job, image] += value("interfered_ms")
+        if (slowed[job, image] >= slowed[job, antagonist[job]]) antagonist[job] = image
+    }
     for (s = 1; s <= states; ++s) sum[job, s] += value(state[s] "_ms")
 }
 function total(job,    s, t) {
--- a/src/dispatch/ServiceLevelMonitor.cpp
+++ b/src/dispatch/ServiceLevelMonitor.cpp
@@ -135,7 +135,9 @@
     });
     if (sums.tasks == 0)
         return;
-    sums.account.add(std::max(1 - lost / sums.tasks, 0.0), elapsed);
+    // After a pause of the process, the present state does not stand for all the time since the last sample.
+    const Duration accounted = std::min(elapsed, 2 * m_settings.sampleInterval);
+    sums.account.add(std::max(1 - lost / sums.tasks, 0.0), accounted);
     if (m_clock.now() - sums.since >= m_settings.logInterval)
         log(job.id(), sums, false);
 }
--- a/tests/unit/ServiceLevelMonitorTest.cpp
+++ b/tests/unit/ServiceLevelMonitorTest.cpp
@@ -104,8 +104,8 @@
         EXPECT_EQ(taskMs("over_target"), 5000);
     }
 
-    // Guards against totals that miss the last seconds of a job.
-    TEST_F(ServiceLevelMonitorTest, jobEnds_withinAPeriod_isCountedToItsEnd)
+    // Guards against totals that miss the last period of a job.
+    TEST_F(ServiceLevelMonitorTest, jobEnds_withinAPeriod_isCountedToItsLastSample)
     {
         runTask(0, 900);
         m_monitor.sample({ &m_job }, m_hosts, m_model);
