Count all interference on a host against the limit, not the increase

The limit for best-effort tasks counted only the latency-critical tasks that one more task newly pushes over their target.

The limit now counts all latency-critical tasks that best-effort tasks push over their target, together with the new one. The choice among the hosts within it still prefers the smallest increase.

Evidence: HostChooserTest.bestEffortTask_hostWhereOthersInterfereAlready_... failed on the code before.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -57,9 +57,9 @@
                                            ///< ended for this long.
         Duration slackMargin { 300 }; ///< A best-effort task stops waiting for a better host this long before its slack
                                       ///< is used up: a start takes about 100 ms, a poll of the worker 450 ms.
-        /// Expected number of latency-critical tasks that a best-effort task may push over their target, while its job
-        /// has slack or after it has missed its objective.
-        double maxNewlyOverTarget { 0.45 };
+        /// Expected number of latency-critical tasks on a host that best-effort tasks may push over their target. A
+        /// task is placed beyond it only while its job has no slack left and has not missed its objective yet.
+        double maxOverTarget { 0.45 };
         /// A late step of which no run works waits no longer than this for a host within the limit: accepted work is
         /// finished, and has something running within 3 s while there is capacity.
         Duration maxLateWait { 1500 };
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -97,7 +97,7 @@
     };
     const bool isLongRunning = job.spec().steps[step].longRunning;
     const bool canWait = isLate ? !isLongRunning && !isStalled() : slack > m_settings.slackMargin;
-    limits.maxNewlyOverTarget = canWait && job.spec().repeats == 0 ? m_settings.maxNewlyOverTarget : unlimited;
+    limits.maxOverTarget = canWait && job.spec().repeats == 0 ? m_settings.maxOverTarget : unlimited;
     return limits;
 }
 
@@ -201,7 +201,7 @@
         .field("waited_ms", static_cast<int64_t>((context.now - job.lastEventAt()).count()))
         .field("waiting", state.waiting())
         .field("disturbed", static_cast<int64_t>(std::lround(newlyOver)))
-        .field("limited", limits.maxNewlyOverTarget < unlimited ? 1 : 0)
+        .field("limited", limits.maxOverTarget < unlimited ? 1 : 0)
         .field("hosts", placed);
 }
 
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -61,6 +61,20 @@
         return placed == constraints.tasksByHost.end() || placed->second < step.maxPerHost;
     }
 
+    /// Expected number of latency-critical tasks on the host that are over their target with one more task of the step,
+    /// beyond the probability that `withoutIt` gives for each of them.
+    double sumOverTarget(const StepSpec& step, const HostState& host, const InterferenceModel& model,
+        const std::function<double(const LatencyCriticalGroup&)>& withoutIt)
+    {
+        const double cores = static_cast<double>(step.resources.cpuMilli) / 1000;
+        double tasks = 0;
+        for (const auto& [service, group] : host.latencyCriticalGroups) {
+            const auto after = model.withTask(group.forecast, service.image, step.image, cores);
+            tasks += (after.overTargetProbability() - withoutIt(group)) * group.tasks * group.harmWeight;
+        }
+        return tasks;
+    }
+
     /// Whether the host has too little idle processor time for a best-effort task of the step.
     bool lacksIdleProcessors(const StepSpec& step, const HostState& host)
     {
@@ -75,7 +89,7 @@
             return false;
         if (host.pausesBestEffort(context.now))
             return false;
-        return newlyOverTarget(step, host, context.interference) <= limits.maxNewlyOverTarget;
+        return overTargetByBestEffort(step, host, context.interference) <= limits.maxOverTarget;
     }
 
     /// Placement cost of a task on the host, in thousandths of a core; the lowest cost wins.
@@ -99,14 +113,13 @@
 
 double newlyOverTarget(const StepSpec& step, const HostState& host, const InterferenceModel& model)
 {
-    const double cores = static_cast<double>(step.resources.cpuMilli) / 1000;
-    double tasks = 0;
-    for (const auto& [service, group] : host.latencyCriticalGroups) {
-        const auto after = model.withTask(group.forecast, service.image, step.image, cores);
-        tasks += (after.overTargetProbability() - group.forecast.overTargetProbability()) * group.tasks
-            * group.harmWeight;
-    }
-    return tasks;
+    return sumOverTarget(
+        step, host, model, [](const LatencyCriticalGroup& group) { return group.forecast.overTargetProbability(); });
+}
+
+double overTargetByBestEffort(const StepSpec& step, const HostState& host, const InterferenceModel& model)
+{
+    return sumOverTarget(step, host, model, [](const LatencyCriticalGroup& group) { return group.overByOwnLoad; });
 }
 
 bool isUsable(const HostState& host, const PlacementContext& context)
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -28,13 +28,19 @@
 /// Limits on the hosts that a best-effort task accepts.
 struct BestEffortLimits {
     bool overcommit { false }; ///< Accepts a host with too little idle processor time.
-    double maxNewlyOverTarget { 0 }; ///< Expected number of latency-critical tasks that it may push over their target.
+    /// Expected number of latency-critical tasks on the host that best-effort tasks may push over their target,
+    /// together with the one that is placed.
+    double maxOverTarget { 0 };
 };
 
 /// Expected number of latency-critical tasks on the host that one more task of the step pushes over their target, not
 /// counting those that are over it anyway. Tasks of jobs that are behind others in service count for more.
 double newlyOverTarget(const StepSpec& step, const HostState& host, const InterferenceModel& model);
 
+/// Expected number of latency-critical tasks on the host that all best-effort tasks push over their target, with one
+/// more task of the step. Weighted like newlyOverTarget().
+double overTargetByBestEffort(const StepSpec& step, const HostState& host, const InterferenceModel& model);
+
 /// Whether any new runs may be placed on the host.
 bool isUsable(const HostState& host, const PlacementContext& context);
 
--- a/src/dispatch/HostRegistry.cpp
+++ b/src/dispatch/HostRegistry.cpp
@@ -53,6 +53,7 @@
     const CoresByImage usage = bestEffortCores();
     for (auto& [service, group] : latencyCriticalGroups) {
         group.forecast = model.forecast(service, usage);
+        group.overByOwnLoad = model.forecast(service, {}).overTargetProbability();
         group.harmWeight = weightOf(service.job);
     }
 }
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -48,6 +48,7 @@
 /// The tasks of one service on a host.
 struct LatencyCriticalGroup {
     uint32_t tasks { 0 };
+    double overByOwnLoad { 0 }; ///< Probability that a task is over its target even without best-effort tasks.
     double harmWeight { 1 }; ///< See harmWeight().
     InterferenceModel::Forecast forecast; ///< Of their headroom next to the best-effort tasks on the host.
 };
--- a/tests/unit/InterferenceTest.cpp
+++ b/tests/unit/InterferenceTest.cpp
@@ -285,12 +285,36 @@
         EXPECT_EQ(choose(bestEffort)->name, "b");
         // If only the host with interference is left, the task waits unless its job cannot wait.
         b.last.draining = true;
-        m_limits.maxNewlyOverTarget = 0.5;
+        m_limits.maxOverTarget = 0.5;
         EXPECT_EQ(choose(bestEffort), nullptr);
-        m_limits.maxNewlyOverTarget = 100;
+        m_limits.maxOverTarget = 100;
         EXPECT_EQ(choose(bestEffort)->name, "a");
     }
 
+    // Guards against a watch that loses all day (SHORT, issue 34): once best-effort tasks had pushed it over its
+    // target, one more there counted as harmless, so its host attracted them.
+    TEST_F(HostChooserTest, bestEffortTask_hostWhereOthersInterfereAlready_isNotAddedThere)
+    {
+        HostState& host = addHost("a", 64'000);
+        StepSpec latencyCritical = step(10'000);
+        latencyCritical.longRunning = true;
+        latencyCritical.image = "fragile";
+        m_registry.add(host, { "watch", 0, 0, 0 }, 1, latencyCritical, HostRun::Stage::Ordered);
+        StepSpec bestEffort = step(7000);
+        bestEffort.bestEffort = true;
+        bestEffort.image = "batch";
+        for (int i = 0; i < 20; ++i) {
+            const Instant seenAt = m_now + i * Duration { 450 };
+            m_model.observe({ "watch", "fragile" }, 0.5, {}, seenAt);
+            m_model.observe({ "watch", "fragile" }, 3, { { "batch", 7 } }, seenAt);
+        }
+        m_limits.maxOverTarget = 0.5;
+        EXPECT_EQ(choose(bestEffort), nullptr);
+        m_registry.add(host, { "job", 0, 0, 0 }, 1, bestEffort, HostRun::Stage::Ordered);
+        host.forecastsAreStale = true;
+        EXPECT_EQ(choose(bestEffort), nullptr);
+    }
+
     // Guards against repeated refused starts on a host whose agent pauses best-effort tasks.
     TEST_F(HostChooserTest, bestEffortTask_justRefusedByTheAgent_isPlacedElsewhere)
     {
