--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -38,7 +38,8 @@
 
 void Dispatcher::refreshForecasts(HostState& host) const
 {
-    host.refreshForecasts(m_interference, [this](const std::string& job) { return m_serviceLevels.harmWeight(job); });
+    host.refreshForecasts(
+        m_interference, [this](const std::string& job) { return m_serviceLevels.interferenceWeight(job); });
 }
 
 const JobPlan& Dispatcher::planOf(const Job& job)
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -70,7 +70,7 @@
         double tasks = 0;
         for (const auto& [service, group] : host.latencyCriticalGroups) {
             const auto after = model.withTask(group.forecast, service.image, step.image, cores);
-            tasks += (after.overTargetProbability() - withoutIt(group)) * group.tasks * group.harmWeight;
+            tasks += (after.overTargetProbability() - withoutIt(group)) * group.tasks * group.interferenceWeight;
         }
         return tasks;
     }
--- a/src/dispatch/HostRegistry.cpp
+++ b/src/dispatch/HostRegistry.cpp
@@ -54,7 +54,7 @@
     for (auto& [service, group] : latencyCriticalGroups) {
         group.forecast = model.forecast(service, usage);
         group.overByOwnLoad = model.forecast(service, {}).overTargetProbability();
-        group.harmWeight = weightOf(service.job);
+        group.interferenceWeight = weightOf(service.job);
     }
 }
 
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -49,7 +49,7 @@
 struct LatencyCriticalGroup {
     uint32_t tasks { 0 };
     double overByOwnLoad { 0 }; ///< Probability that a task is over its target even without best-effort tasks.
-    double harmWeight { 1 }; ///< See harmWeight().
+    double interferenceWeight { 1 }; ///< See interferenceWeight().
     InterferenceModel::Forecast forecast; ///< Of their headroom next to the best-effort tasks on the host.
 };
 
--- a/src/dispatch/ServiceAccount.cpp
+++ b/src/dispatch/ServiceAccount.cpp
@@ -13,7 +13,7 @@
     m_attainedShare += weight * (share - m_attainedShare);
 }
 
-double harmWeight(double attainedShare, double meanAttainedShare)
+double interferenceWeight(double attainedShare, double meanAttainedShare)
 {
     // A job that is far behind does not keep all best-effort work away, nor does one far ahead attract all of it.
     constexpr double minWeight = 0.6;
--- a/src/dispatch/ServiceAccount.h
+++ b/src/dispatch/ServiceAccount.h
@@ -10,15 +10,6 @@
     /// Times further back than this hardly count.
     static constexpr Duration window { 60'000 };
 
-    ServiceAccount() = default;
-
-    /// An account that has been kept for `age`, with the mean share so far.
-    ServiceAccount(double attainedShare, Duration age)
-        : m_attainedShare(attainedShare)
-        , m_age(age)
-    {
-    }
-
     /// Adds `elapsed`, during which the job received `share` of its service, from 0 to 1.
     void add(double share, Duration elapsed);
 
@@ -37,6 +28,6 @@
 
 /// How much an interfered task of a job counts against a placement: 1 if the job has attained the mean share of its
 /// service, more if it is behind other jobs, less if it is ahead of them.
-double harmWeight(double attainedShare, double meanAttainedShare);
+double interferenceWeight(double attainedShare, double meanAttainedShare);
 
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/ServiceLevelMonitor.cpp
+++ b/src/dispatch/ServiceLevelMonitor.cpp
@@ -164,10 +164,12 @@
         .field("ended", ended ? 1 : 0);
 }
 
-double ServiceLevelMonitor::harmWeight(const std::string& job) const
+double ServiceLevelMonitor::interferenceWeight(const std::string& job) const
 {
     const auto found = m_jobs.find(job);
-    return found == m_jobs.end() ? 1 : dispatch::harmWeight(found->second.account.attainedShare(), m_meanAttainedShare);
+    return found == m_jobs.end()
+        ? 1
+        : dispatch::interferenceWeight(found->second.account.attainedShare(), m_meanAttainedShare);
 }
 
 void ServiceLevelMonitor::reset()
--- a/src/dispatch/ServiceLevelMonitor.h
+++ b/src/dispatch/ServiceLevelMonitor.h
@@ -44,8 +44,8 @@
     /// long-running steps.
     void sample(const std::vector<const Job*>& openJobs, const HostRegistry& hosts, const InterferenceModel& model);
 
-    /// The weight of harm to the job's tasks; see dispatch::harmWeight(). 1 for a job without an account.
-    double harmWeight(const std::string& job) const;
+    /// The weight of harm to the job's tasks; see dispatch::interferenceWeight(). 1 for a job without an account.
+    double interferenceWeight(const std::string& job) const;
 
     /// Logs and discards all sums. The next sample only starts the measurement.
     void reset();
--- a/tests/unit/ServiceLevelMonitorTest.cpp
+++ b/tests/unit/ServiceLevelMonitorTest.cpp
@@ -133,13 +133,13 @@
     }
 
     // Guards against weights without a bound, and against a weight while nothing is known.
-    TEST(ServiceAccountTest, harmWeight_growsAsAJobFallsBehind)
+    TEST(ServiceAccountTest, interferenceWeight_growsAsAJobFallsBehind)
     {
-        EXPECT_EQ(harmWeight(0.5, 0.5), 1);
-        EXPECT_EQ(harmWeight(0.25, 0.5), 2);
-        EXPECT_EQ(harmWeight(0, 0.5), 3);
-        EXPECT_EQ(harmWeight(1, 0.1), 0.6);
-        EXPECT_EQ(harmWeight(0, 0), 1);
+        EXPECT_EQ(interferenceWeight(0.5, 0.5), 1);
+        EXPECT_EQ(interferenceWeight(0.25, 0.5), 2);
+        EXPECT_EQ(interferenceWeight(0, 0.5), 3);
+        EXPECT_EQ(interferenceWeight(1, 0.1), 0.6);
+        EXPECT_EQ(interferenceWeight(0, 0), 1);
     }
 
 } // namespace
