Look a task's run up in one place, and limit late best-effort work only

The run of a placed task was looked up in the service monitor and again in the dispatcher; HostRegistry::findRun() serves both.

--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -74,13 +74,8 @@
     TaskId id = firstTask;
     return std::ranges::any_of(state.tasks, [&](const TaskState& task) {
         id.index = static_cast<uint32_t>(&task - state.tasks.data());
-        if (task.phase != TaskPhase::Placed)
-            return false;
-        const auto host = m_hosts.hosts().find(task.host);
-        if (host == m_hosts.hosts().end())
-            return false;
-        const auto run = host->second.runs.find(id.text());
-        return run != host->second.runs.end() && run->second.speedPercent > 0;
+        const HostRun* run = task.phase == TaskPhase::Placed ? m_hosts.findRun(task.host, id) : nullptr;
+        return run && run->speedPercent > 0;
     });
 }
 
@@ -96,8 +91,9 @@
         return now - job.lastEventAt() >= m_settings.maxLateWait
             && !hasWorkingRun(job.occurrence(occurrence).steps[step], { job.id(), occurrence, step, 0 });
     };
-    const bool isLongRunning = job.spec().steps[step].longRunning;
-    const bool canWait = isLate ? !isLongRunning && !isStalled() : slack > m_settings.slackMargin;
+    const StepSpec& spec = job.spec().steps[step];
+    const bool mayBeLate = spec.bestEffort && !spec.longRunning;
+    const bool canWait = isLate ? mayBeLate && !isStalled() : slack > m_settings.slackMargin;
     limits.maxOverTarget = canWait && job.spec().repeats == 0 ? m_settings.maxOverTarget : unlimited;
     return limits;
 }
--- a/src/dispatch/HostRegistry.cpp
+++ b/src/dispatch/HostRegistry.cpp
@@ -66,6 +66,15 @@
     run.speedPercent = speedPercent;
 }
 
+const HostRun* HostRegistry::findRun(const std::string& host, const TaskId& task) const
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end())
+        return nullptr;
+    const auto run = found->second.runs.find(task.text());
+    return run == found->second.runs.end() ? nullptr : &run->second;
+}
+
 HostRun& HostRegistry::add(
     HostState& host, const TaskId& task, uint32_t attempt, const StepSpec& step, HostRun::Stage stage)
 {
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -141,6 +141,9 @@
     const std::map<std::string, HostState>& hosts() const { return m_hosts; }
     void clear() { m_hosts.clear(); }
 
+    /// The run of the task on the host, or null if none is accounted for.
+    const HostRun* findRun(const std::string& host, const TaskId& task) const;
+
     /// Adds a run of a task of `step` and its resources; replaces an earlier run of the same task.
     HostRun& add(HostState& host, const TaskId& task, uint32_t attempt, const StepSpec& step, HostRun::Stage stage);
 
--- a/src/dispatch/ServiceLevelMonitor.cpp
+++ b/src/dispatch/ServiceLevelMonitor.cpp
@@ -16,16 +16,6 @@
     constexpr std::array<std::string_view, ServiceLevelMonitor::stateCount> stateNames { "waiting", "starting",
         "over_target", "interfered", "served" };
 
-    /// The run of a placed task, or null if the owner does not account for one.
-    const HostRun* findRun(const HostRegistry& hosts, const TaskId& id, const TaskState& task)
-    {
-        const auto host = hosts.hosts().find(task.host);
-        if (host == hosts.hosts().end())
-            return nullptr;
-        const auto run = host->second.runs.find(id.text());
-        return run == host->second.runs.end() ? nullptr : &run->second;
-    }
-
     /// The best-effort image that uses the most headroom of the latency-critical image.
     std::string strongestAntagonist(
         const std::string& latencyCritical, const CoresByImage& bestEffort, const InterferenceModel& model)
@@ -52,7 +42,7 @@
     {
         if (task.phase != TaskPhase::Placed)
             return { State::Waiting, {} };
-        const HostRun* run = findRun(hosts, id, task);
+        const HostRun* run = hosts.findRun(task.host, id);
         if (!run || !run->seen)
             return { State::Starting, {} };
         if (run->tailPerMille <= atTargetPerMille)
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -233,19 +233,22 @@
             ASSERT_EQ(entry.sender.starts[3].first, "host-2");
         }
 
-        /// Advances the time while both hosts report every 250 ms that their tasks serve at the given tail latencies,
-        /// in thousandths of the target.
+        /// Report of a host on which both tasks of the job serve at the given tail latency, in thousandths of the
+        /// target.
+        static HostReport servingReport(const std::string& host, const std::string& job, int64_t tailPerMille)
+        {
+            HostReport report = reportOf(host);
+            for (const char* task : { ".0.0.0", ".0.0.1" })
+                report.running.push_back({ job + task, 1, "", 100, 100, tailPerMille });
+            return report;
+        }
+
+        /// Advances the time while both hosts report every 250 ms.
         void reportTails(Entry& entry, Duration time, int64_t busyPerMille, int64_t calmPerMille)
         {
             for (Duration passed { 0 }; passed < time; passed += Duration { 250 }) {
-                HostReport report = reportOf("host-1");
-                report.running = { { "busy.0.0.0", 1, "", 100, 100, busyPerMille },
-                    { "busy.0.0.1", 1, "", 100, 100, busyPerMille } };
-                entry.dispatcher.hostReported("host-1", report);
-                report = reportOf("host-2");
-                report.running = { { "calm.0.0.0", 1, "", 100, 100, calmPerMille },
-                    { "calm.0.0.1", 1, "", 100, 100, calmPerMille } };
-                entry.dispatcher.hostReported("host-2", report);
+                entry.dispatcher.hostReported("host-1", servingReport("host-1", "busy", busyPerMille));
+                entry.dispatcher.hostReported("host-2", servingReport("host-2", "calm", calmPerMille));
                 run(entry, Duration { 250 });
             }
         }
@@ -1428,14 +1431,11 @@
         ASSERT_EQ(entry.sender.starts.size(), 5u);
         entry.dispatcher.setClosedDataCentres({});
         for (int i = 0; i < 4; ++i) {
-            HostReport report = reportOf("host-1");
+            HostReport report = servingReport("host-1", "busy", 900);
             report.settledOrders = 3;
-            report.running = { { "busy.0.0.0", 1, "", 100, 100, 900 }, { "busy.0.0.1", 1, "", 100, 100, 900 },
-                { "batch.0.0.0", 1, "", 10, 0 } };
+            report.running.push_back({ "batch.0.0.0", 1, "", 10, 0 });
             entry.dispatcher.hostReported("host-1", report);
-            report = reportOf("host-2");
-            report.running = { { "calm.0.0.0", 1, "", 100, 100, 900 }, { "calm.0.0.1", 1, "", 100, 100, 900 } };
-            entry.dispatcher.hostReported("host-2", report);
+            entry.dispatcher.hostReported("host-2", servingReport("host-2", "calm", 900));
             run(entry, Duration { 250 });
         }
         ASSERT_EQ(entry.sender.starts.size(), 6u);
