--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -41,19 +41,16 @@
     poll();
 }
 
-int64_t HostAgent::workerClockMs() const { return m_clockMs + (m_clock.now() - m_clockReadAt).count(); }
+int64_t HostAgent::workerClockMs() const { return m_view.clockMs + (m_clock.now() - m_view.clockReadAt).count(); }
 
 bool HostAgent::handleAnnouncement(const WorkerAnnouncement& announcement)
 {
     const bool sameLife = announcement.life == m_announcement.life;
-    if (announcement.life < m_announcement.life || (sameLife && announcement.sequence <= m_announcement.sequence))
+    const int64_t newestLife = std::max(m_announcement.life, m_view.life);
+    if (announcement.life < newestLife || (sameLife && announcement.sequence <= m_announcement.sequence))
         return false;
-    // Calls reach the announced incarnation from now on, and must not carry the numbers of ends or the lease of the
-    // former one.
-    if (m_life != 0 && announcement.life > m_life) {
-        beginIncarnation(0);
-        schedulePoll(Duration { 0 });
-    }
+    if (m_view.life != 0 && announcement.life > m_view.life)
+        abandonIncarnation();
     const bool hasChanged = !sameLife || announcement.draining != m_announcement.draining
         || announcement.service != m_announcement.service;
     const bool wasDraining = sameLife && m_announcement.draining;
@@ -83,7 +80,7 @@
 {
     ++m_connection;
     m_highestOrder = 0;
-    m_settledOrders = 0;
+    m_view.settledOrders = 0;
     m_reportsSent = 0;
     m_reportsRead = 0;
     m_ownerCountsReports = false;
@@ -104,20 +101,20 @@
             .field("epoch", orders.epoch)
             .field("former", m_epochSeen)
             .field("connection", orders.connection)
-            .field("life", m_life);
+            .field("life", m_view.life);
         acceptEpoch(orders.epoch);
     }
     m_ownerConnection = orders.connection;
     m_ownerCountsReports |= orders.readsPackedReports;
     m_reportsRead = std::max(m_reportsRead, orders.reportsRead);
     // While the incarnation is unknown, acknowledgements and readings of the clock belong to a former one.
-    const bool sameLife = m_life != 0 && orders.life == m_life;
+    const bool sameLife = m_view.life != 0 && orders.life == m_view.life;
     if (sameLife && orders.echoMs > 0)
-        m_leaseUntilMs = std::max<int64_t>(m_leaseUntilMs, orders.echoMs + m_settings.lease.count());
+        m_view.leaseUntilMs = std::max<int64_t>(m_view.leaseUntilMs, orders.echoMs + m_settings.lease.count());
     for (const PairInterference& pair : orders.disturbances)
         m_throttle.setInterference(pair.serving, pair.filling, pair.takenPerCore);
     for (const RunOrder& known : orders.known)
-        m_descriptions.insert_or_assign(known.task, known);
+        m_view.descriptions.insert_or_assign(known.task, known);
     const Duration maxAge = orders.startsValidMs > 0
         ? std::min(m_settings.maxOrderAge, Duration { orders.startsValidMs })
         : m_settings.maxOrderAge;
@@ -127,13 +124,13 @@
         if (sameLife)
             startRun(order, areLate);
         else
-            refuseStart(order, "worker_restarted");
+            refuseStart(order, restartedReason);
     }
     for (const RunStop& stop : orders.stops)
         stopRun(stop, maxStopTries);
-    if (sameLife && orders.acknowledgedEnds > m_acknowledgedEnds) {
-        m_acknowledgedEnds = orders.acknowledgedEnds;
-        std::erase_if(m_ends, [this](const RunEnd& end) { return end.number <= m_acknowledgedEnds; });
+    if (sameLife && orders.acknowledgedEnds > m_view.acknowledgedEnds) {
+        m_view.acknowledgedEnds = orders.acknowledgedEnds;
+        std::erase_if(m_view.ends, [this](const RunEnd& end) { return end.number <= m_view.acknowledgedEnds; });
         schedulePoll(Duration { 0 });
     }
     if (m_isReportWaiting && !mustReportWait())
@@ -144,11 +141,11 @@
 void HostAgent::acceptEpoch(uint64_t epoch)
 {
     m_epochSeen = epoch;
-    m_epochFenced = false;
+    m_view.epochFenced = false;
     m_epochIsNewest = false;
     m_ownerConnection = 0;
     // What the former owner has granted must not reach the worker under the fence of this one.
-    m_leaseUntilMs = 0;
+    m_view.leaseUntilMs = 0;
     // The worker's clock increases across restarts of the agent, so the first fence of a process mostly exceeds those
     // of earlier ones.
     if (m_fence != 0)
@@ -161,7 +158,7 @@
     const uint64_t lowest = m_epochSeen * fencesPerEpoch;
     const uint64_t highest = lowest + fencesPerEpoch - 1;
     if (m_fence == 0) {
-        m_fence = lowest + static_cast<uint64_t>(std::max<int64_t>(m_clockMs, 0)) % (fencesPerEpoch - 1) + 1;
+        m_fence = lowest + static_cast<uint64_t>(std::max<int64_t>(m_view.clockMs, 0)) % (fencesPerEpoch - 1) + 1;
         return schedulePoll(Duration { 0 });
     }
     // Without an owner there is nothing to do on the worker, and the first owner's epoch decides.
@@ -185,7 +182,7 @@
 {
     if (std::exchange(m_isCheckingEpoch, true))
         return;
-    LogEvent(LogLevel::Warning, "epoch_refused_by_worker").field("epoch", m_epochSeen).field("life", m_life);
+    LogEvent(LogLevel::Warning, "epoch_refused_by_worker").field("epoch", m_epochSeen).field("life", m_view.life);
     readOwnerEpoch(
         m_journal, m_settings.epochCheckTimeout, [this, epoch = m_epochSeen](std::optional<uint64_t> newest) {
             LogEvent(LogLevel::Info, "epoch_checked").field("epoch", epoch).field("newest", newest.value_or(0));
@@ -203,11 +200,11 @@
 
 void HostAgent::startRun(const RunOrder& order, bool isLate)
 {
-    const int64_t leaseLeft = m_leaseUntilMs - workerClockMs();
+    const int64_t leaseLeft = m_view.leaseUntilMs - workerClockMs();
     // The order is meant for the incarnation that answered the last poll, but calls reach the incarnation that was
     // announced last.
-    if (m_announcement.life != m_life)
-        return refuseStart(order, "worker_restarted");
+    if (m_announcement.life != m_view.life)
+        return refuseStart(order, restartedReason);
     if (m_announcement.draining)
         return refuseStart(order, "draining");
     if (isLate)
@@ -219,20 +216,22 @@
     if (order.fills && m_throttle.mustPause(bestEffortTask, m_clock.now()))
         return refuseStart(order, refusedWhilePaused);
     const std::string key = runKey(order.task, order.attempt);
-    if (m_pendingStarts.contains(key))
+    if (m_view.pendingStarts.contains(key))
         return;
-    m_pendingStarts.emplace(key, PendingStart { order, m_connection, m_epochSeen, m_ownerConnection, std::nullopt });
+    m_view.pendingStarts.emplace(
+        key, PendingStart { order, m_connection, m_epochSeen, m_ownerConnection, std::nullopt });
     noteLeaseGranted();
-    m_worker.start(order, m_leaseUntilMs, m_fence, [this, key, life = m_life](const WorkerAnswer& answer) {
-        if (life == m_life)
-            handleStartAnswer(key, answer);
-    });
+    m_worker.start(
+        incarnation(), order, m_view.leaseUntilMs, [this, key, life = m_view.life](const WorkerAnswer& answer) {
+            if (life == m_view.life)
+                handleStartAnswer(key, answer);
+        });
 }
 
 void HostAgent::handleStartAnswer(const std::string& key, const WorkerAnswer& answer)
 {
-    const auto pending = m_pendingStarts.find(key);
-    if (pending == m_pendingStarts.end())
+    const auto pending = m_view.pendingStarts.find(key);
+    if (pending == m_view.pendingStarts.end())
         return;
     if (answer.status == WorkerAnswer::Status::None) {
         LogEvent(LogLevel::Warning, "start_unanswered").field("task", pending->second.order.task);
@@ -241,8 +240,11 @@
     const RunOrder order = pending->second.order;
     m_counters.add(answer.status == WorkerAnswer::Status::Done ? "worker_starts" : "worker_starts_refused");
     if (answer.status == WorkerAnswer::Status::Refused) {
-        m_pendingStarts.erase(pending);
-        return refuseStart(order, answer.reason);
+        m_view.pendingStarts.erase(pending);
+        refuseStart(order, answer.reason);
+        if (answer.reason == restartedReason)
+            abandonIncarnation();
+        return;
     }
     // The answer to a poll that was already sent may list the runs as of a time before the start.
     pending->second.lastPollBeforeAnswer = m_pollsSent;
@@ -252,23 +254,23 @@
         .field("epoch", pending->second.epoch)
         .field("connection", pending->second.ownerConnection)
         .field("order", order.sequence)
-        .field("life", m_life)
+        .field("life", m_view.life)
         .field("fence", m_fence);
     RunOrder known = order;
     known.payload.clear();
-    m_descriptions.insert_or_assign(order.task, std::move(known));
+    m_view.descriptions.insert_or_assign(order.task, std::move(known));
 }
 
 void HostAgent::revokeStart(const std::string& key)
 {
-    const auto pending = m_pendingStarts.find(key);
-    if (pending == m_pendingStarts.end())
+    const auto pending = m_view.pendingStarts.find(key);
+    if (pending == m_view.pendingStarts.end())
         return;
     // The worker refuses a start that arrives after the stop of the same run.
     const RunStop stop { pending->second.order.task, pending->second.order.attempt };
-    m_worker.stop(stop, m_fence, [this, key, life = m_life](const WorkerAnswer& answer) {
-        const auto found = m_pendingStarts.find(key);
-        if (life != m_life || found == m_pendingStarts.end())
+    m_worker.stop(incarnation(), stop, [this, key, life = m_view.life](const WorkerAnswer& answer) {
+        const auto found = m_view.pendingStarts.find(key);
+        if (life != m_view.life || found == m_view.pendingStarts.end())
             return;
         if (answer.status != WorkerAnswer::Status::Done) {
             m_timers.after(m_settings.stopRetry, [this, key] { revokeStart(key); });
@@ -291,15 +293,15 @@
         .field("epoch", m_epochSeen)
         .field("connection", m_ownerConnection)
         .field("order", order.sequence)
-        .field("life", m_life);
+        .field("life", m_view.life);
     m_refusals.push_back({ order.task, order.attempt, reason });
     report(false);
 }
 
 void HostAgent::stopRun(const RunStop& stop, int triesLeft)
 {
-    m_worker.stop(stop, m_fence, [this, stop, triesLeft, life = m_life](const WorkerAnswer& answer) {
-        if (life != m_life || answer.status != WorkerAnswer::Status::None || triesLeft <= 1)
+    m_worker.stop(incarnation(), stop, [this, stop, triesLeft, life = m_view.life](const WorkerAnswer& answer) {
+        if (life != m_view.life || answer.status != WorkerAnswer::Status::None || triesLeft <= 1)
             return;
         m_timers.after(m_settings.stopRetry, [this, stop, triesLeft, epoch = m_epochSeen] {
             if (epoch == m_epochSeen)
@@ -311,7 +313,7 @@
 uint64_t HostAgent::settledOrders() const
 {
     uint64_t settled = m_highestOrder;
-    for (const auto& [key, pending] : m_pendingStarts) {
+    for (const auto& [key, pending] : m_view.pendingStarts) {
         if (pending.connection == m_connection && !pending.lastPollBeforeAnswer)
             settled = std::min(settled, pending.order.sequence - 1);
     }
@@ -333,75 +335,75 @@
         return;
     m_isPolling = true;
     WorkerPoll poll;
-    if (m_fence != 0 && m_leaseUntilMs > workerClockMs()) {
-        poll.leaseUntilMs = m_leaseUntilMs;
+    if (m_fence != 0 && m_view.leaseUntilMs > workerClockMs()) {
+        poll.leaseUntilMs = m_view.leaseUntilMs;
         noteLeaseGranted();
     }
-    // A call names the incarnation it is meant for only once that one has announced itself. Until then, one that has
-    // just replaced it could carry the call out and discard its own ends.
-    if (m_announcement.life == m_life)
-        poll.acknowledgedEnds = m_acknowledgedEnds;
+    // A poll that is carried out late by a later incarnation must not discard that one's ends.
+    if (m_view.acknowledgedEnds > m_view.discardedEnds)
+        poll.acknowledgedEnds = m_view.acknowledgedEnds;
     // The worker answers a poll at once while it has unacknowledged ends.
     const Duration maxWait = m_throttle.isPausing() ? m_settings.pollWaitWhilePausing : m_settings.pollWait;
-    poll.wait = m_fence != 0 && m_ends.empty() ? maxWait : Duration { 0 };
-    const SentPoll sent { ++m_pollsSent, m_life, m_clock.now(), m_connection, settledOrders(),
-        m_fence == 0 ? 0 : m_epochSeen };
-    m_worker.poll(poll, m_fence, [this, sent](WorkerState state) { handlePollAnswer(std::move(state), sent); });
+    poll.wait = m_view.hasReadRuns && m_view.ends.empty() ? maxWait : Duration { 0 };
+    const SentPoll sent { ++m_pollsSent, m_clock.now(), m_connection, settledOrders(), m_fence == 0 ? 0 : m_epochSeen,
+        poll.acknowledgedEnds };
+    m_worker.poll(incarnation(), poll, [this, sent](WorkerState state) { handlePollAnswer(std::move(state), sent); });
 }
 
 void HostAgent::handlePollAnswer(WorkerState state, const SentPoll& sent)
 {
+    if (sent.number != m_pollsSent)
+        return; // The poll was abandoned.
     m_isPolling = false;
     if (state.status == WorkerState::Status::None)
         return handleUnansweredPoll();
     if (state.status == WorkerState::Status::OtherIncarnation) {
-        // State of the former incarnation, such as the number of the last acknowledged end, must not be sent to the new
-        // one.
         beginIncarnation(0);
         return schedulePoll(m_settings.minPollInterval);
     }
-    // The incarnation that answered has been replaced since.
-    if (sent.life != m_life)
-        return schedulePoll(m_settings.minPollInterval);
-    if (state.life != m_life)
+    // A refusal does not name the incarnation.
+    if (state.life != 0 && state.life != m_view.life)
         beginIncarnation(state.life);
-    m_clockMs = state.clockMs;
-    m_clockReadAt = m_clock.now();
+    if (state.status == WorkerState::Status::Ok) {
+        m_view.clockMs = state.clockMs;
+        m_view.clockReadAt = m_clock.now();
+    }
     if (m_fence == 0 || state.status == WorkerState::Status::Fenced) {
         // Another process of the agent may have acted since the last list.
-        m_epochFenced = false;
-        m_hasReadRuns = false;
+        m_view.epochFenced = false;
+        m_view.hasReadRuns = false;
         return raiseFence();
     }
-    m_epochFenced = m_epochSeen != 0 && sent.epoch == m_epochSeen;
+    m_view.epochFenced = m_epochSeen != 0 && sent.epoch == m_epochSeen;
     if (m_unansweredPolls >= m_settings.pollsUntilSilent)
-        LogEvent(LogLevel::Info, "worker_reached").field("life", m_life);
+        LogEvent(LogLevel::Info, "worker_reached").field("life", m_view.life);
     m_unansweredPolls = 0;
     applyState(state, sent);
 }
 
 void HostAgent::applyState(WorkerState& state, const SentPoll& sent)
 {
-    m_running = std::move(state.running);
-    m_hasMoreEnds = state.hasMoreEnds;
-    m_hasReadRuns = true;
-    m_settledOrders = sent.connection == m_connection ? sent.settledOrders : 0;
-    std::erase_if(m_pendingStarts, [&](const auto& entry) {
+    m_view.discardedEnds = std::max(m_view.discardedEnds, sent.acknowledgedEnds);
+    m_view.running = std::move(state.running);
+    m_view.hasMoreEnds = state.hasMoreEnds;
+    m_view.hasReadRuns = true;
+    m_view.settledOrders = sent.connection == m_connection ? sent.settledOrders : 0;
+    std::erase_if(m_view.pendingStarts, [&](const auto& entry) {
         return entry.second.lastPollBeforeAnswer && *entry.second.lastPollBeforeAnswer < sent.number;
     });
-    m_ends.clear();
+    m_view.ends.clear();
     for (RunEnd& end : state.ends) {
-        if (end.number <= m_acknowledgedEnds)
+        if (end.number <= m_view.acknowledgedEnds)
             continue;
-        const auto known = m_descriptions.find(end.task);
-        if (known != m_descriptions.end() && known->second.attempt == end.attempt)
-            m_descriptions.erase(known);
-        m_ends.push_back(std::move(end));
+        const auto known = m_view.descriptions.find(end.task);
+        if (known != m_view.descriptions.end() && known->second.attempt == end.attempt)
+            m_view.descriptions.erase(known);
+        m_view.ends.push_back(std::move(end));
     }
     updateThrottling();
     report(true);
     const Duration elapsed = m_clock.now() - sent.sentAt;
-    const Duration pause = m_ends.empty() ? m_settings.minPollInterval : m_settings.acknowledgementWait;
+    const Duration pause = m_view.ends.empty() ? m_settings.minPollInterval : m_settings.acknowledgementWait;
     schedulePoll(elapsed >= pause ? Duration { 0 } : pause - elapsed);
 }
 
@@ -410,9 +412,9 @@
     std::vector<LatencyCriticalTask> latencyCritical;
     std::vector<BestEffortTask> bestEffort;
     std::map<std::string, uint32_t> attempts;
-    for (WorkerRun& run : m_running) {
-        const auto known = m_descriptions.find(run.report.task);
-        if (known == m_descriptions.end())
+    for (WorkerRun& run : m_view.running) {
+        const auto known = m_view.descriptions.find(run.report.task);
+        if (known == m_view.descriptions.end())
             continue;
         const RunOrder& order = known->second;
         if (order.tailTargetMs > 0) {
@@ -429,9 +431,9 @@
     for (const ThrottleOrder& order : m_throttle.update(latencyCritical, bestEffort, m_clock.now())) {
         m_counters.add("pace_orders");
         LogEvent(LogLevel::Info, "run_paced").field("task", order.task).field("percent", order.percent);
-        m_worker.setSpeed({ order.task, attempts[order.task] }, order.percent, m_fence,
-            [this, task = order.task](const WorkerAnswer& answer) {
-                if (answer.status != WorkerAnswer::Status::Done)
+        m_worker.setSpeed(incarnation(), { order.task, attempts[order.task] }, order.percent,
+            [this, task = order.task, life = m_view.life](const WorkerAnswer& answer) {
+                if (life == m_view.life && answer.status != WorkerAnswer::Status::Done)
                     m_throttle.forget(task);
             });
     }
@@ -439,27 +441,29 @@
 
 void HostAgent::beginIncarnation(int64_t life)
 {
-    LogEvent(LogLevel::Info, "worker_life").field("life", life).field("former", m_life);
-    m_life = life;
-    m_leaseUntilMs = 0;
-    m_acknowledgedEnds = 0;
-    m_running.clear();
-    m_hasReadRuns = false;
-    m_epochFenced = false;
-    m_hasMoreEnds = false;
-    m_ends.clear();
-    m_pendingStarts.clear();
-    m_descriptions.clear();
+    LogEvent(LogLevel::Info, "worker_life").field("life", life).field("former", m_view.life);
+    m_view = {};
+    m_view.life = life;
+    m_throttle.forgetAll();
     // Announcements of another incarnation do not apply to this one.
     if (m_announcement.life != life)
         m_announcement = {};
 }
 
+void HostAgent::abandonIncarnation()
+{
+    beginIncarnation(0);
+    // An answer to the poll that is under way would be of the former incarnation.
+    m_isPolling = false;
+    ++m_pollsSent;
+    schedulePoll(Duration { 0 });
+}
+
 void HostAgent::handleUnansweredPoll()
 {
     ++m_unansweredPolls;
     if (m_unansweredPolls == m_settings.pollsUntilSilent)
-        LogEvent(LogLevel::Warning, "worker_silent").field("life", m_life);
+        LogEvent(LogLevel::Warning, "worker_silent").field("life", m_view.life);
     if (m_unansweredPolls >= m_settings.pollsUntilSilent)
         report(false);
     schedulePoll(m_settings.retry);
@@ -473,7 +477,7 @@
 
 void HostAgent::noteLeaseGranted()
 {
-    m_leaseEnd = std::max(m_leaseEnd, leaseEndAfter(Duration { m_leaseUntilMs - workerClockMs() }));
+    m_leaseEnd = std::max(m_leaseEnd, leaseEndAfter(Duration { m_view.leaseUntilMs - workerClockMs() }));
 }
 
 bool HostAgent::mustReportWait() const
@@ -507,8 +511,8 @@
     message.epochSeen = m_epochSeen;
     message.silent = m_unansweredPolls >= m_settings.pollsUntilSilent;
     message.lapsed = message.silent && m_clock.now() > m_leaseEnd;
-    message.life = m_life;
-    message.clockMs = m_clockMs;
+    message.life = m_view.life;
+    message.clockMs = m_view.clockMs;
     message.service = m_announcement.service;
     message.dataCentre = m_announcement.dataCentre;
     message.rack = m_announcement.rack;
@@ -517,18 +521,18 @@
     message.draining = m_announcement.draining;
     message.remainingMs = m_announcement.remainingMs;
     message.refusesBestEffort = m_throttle.refusesBestEffort(m_clock.now());
-    message.full = full && m_life != 0 && m_hasReadRuns && !message.silent;
-    message.hasMoreEnds = m_hasMoreEnds;
+    message.full = full && m_view.hasReadRuns && !message.silent;
+    message.hasMoreEnds = m_view.hasMoreEnds;
     message.fencesEpochs = true;
-    message.epochFenced = m_epochFenced;
-    message.settledOrders = m_settledOrders;
+    message.epochFenced = m_view.epochFenced;
+    message.settledOrders = m_view.settledOrders;
     if (message.full) {
-        for (const WorkerRun& run : m_running)
+        for (const WorkerRun& run : m_view.running)
             message.running.push_back(run.report);
-        for (const auto& [key, pending] : m_pendingStarts)
+        for (const auto& [key, pending] : m_view.pendingStarts)
             message.pending.push_back({ pending.order.task, pending.order.attempt, "", 0 });
     }
-    message.ends = m_ends;
+    message.ends = m_view.ends;
     message.refusals = std::exchange(m_refusals, {});
     m_sender.send(message);
 }
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -24,6 +24,8 @@
 /// with the epoch, so the worker refuses the calls of former owners also after the agent has restarted and forgotten
 /// which epochs it has seen. It extends the worker's leases only up to a fixed time after the reading of the worker's
 /// clock that the owner has echoed. It reports a start as refused only when the run can no longer start.
+///
+/// The worker may be replaced by another incarnation at any time, under the same id and address.
 class HostAgent {
 public:
     struct Settings {
@@ -124,11 +126,30 @@
     /// State of the agent when a poll was sent.
     struct SentPoll {
         uint64_t number;
-        int64_t life; ///< Incarnation that the agent knew.
         Instant sentAt;
         uint64_t connection;
         uint64_t settledOrders;
         uint64_t epoch; ///< Of the fence that it carries.
+        uint64_t acknowledgedEnds;
+    };
+
+    /// What the agent knows of one incarnation of the worker. It is created anew for the next one, to which none of it
+    /// applies.
+    struct WorkerView {
+        int64_t life { 0 }; ///< 0 until the incarnation has answered.
+        int64_t clockMs { 0 };
+        Instant clockReadAt {};
+        int64_t leaseUntilMs { 0 }; ///< End of the lease granted by the owner, on the worker's clock.
+        uint64_t acknowledgedEnds { 0 };
+        uint64_t discardedEnds { 0 }; ///< The worker has answered a poll that acknowledged the ends up to this one.
+        bool epochFenced { false }; ///< The worker has accepted a fence of `m_epochSeen`.
+        bool hasReadRuns { false }; ///< `running` was read under this process's fence.
+        uint64_t settledOrders { 0 };
+        std::vector<WorkerRun> running;
+        std::vector<RunEnd> ends; ///< Not acknowledged yet.
+        bool hasMoreEnds { false }; ///< The worker's last list of ends may have been incomplete.
+        std::map<std::string, PendingStart> pendingStarts; ///< By task and attempt.
+        std::map<std::string, RunOrder> descriptions; ///< Orders without payload that describe the runs, by task.
     };
 
     void poll();
@@ -136,6 +157,8 @@
     void schedulePoll(Duration delay);
     void applyState(WorkerState& state, const SentPoll& sent);
     void beginIncarnation(int64_t life);
+    void abandonIncarnation();
+    WorkerIncarnation incarnation() const { return { m_view.life, m_fence }; }
     void acceptEpoch(uint64_t epoch);
     void raiseFence();
     void checkEpoch();
@@ -167,7 +190,6 @@
     uint64_t m_ownerConnection { 0 }; ///< Highest HostOrders::connection of the owner with that epoch.
     uint64_t m_connection { 0 }; ///< Number of connections to owners so far.
     uint64_t m_highestOrder { 0 }; ///< Of the current connection.
-    uint64_t m_settledOrders { 0 };
     uint64_t m_reportsSent { 0 }; ///< On the current connection.
     uint64_t m_reportsRead { 0 }; ///< Of these, those that the owner has read.
     bool m_ownerCountsReports { false }; ///< The owner says how many reports it has read; earlier builds do not.
@@ -176,28 +198,17 @@
     bool m_isNextReportFull { false };
 
     uint64_t m_fence { 0 }; ///< 0 until the worker's clock is known.
-    bool m_epochFenced { false }; ///< The worker has accepted a fence of `m_epochSeen` in its current incarnation.
     bool m_epochIsNewest { false }; ///< According to the journal; allows one higher fence than those of the epoch.
     bool m_isCheckingEpoch { false };
-    int64_t m_life { 0 };
-    int64_t m_clockMs { 0 };
-    Instant m_clockReadAt {};
-    int64_t m_leaseUntilMs { 0 }; ///< End of the lease granted by the owner, on the worker's clock.
+    WorkerView m_view;
     Instant m_leaseEnd {}; ///< All leases that this process or an earlier one of the agent has granted end before this.
-    uint64_t m_acknowledgedEnds { 0 };
     int m_unansweredPolls { 0 };
     bool m_isPolling { false };
     uint64_t m_pollsSent { 0 };
     uint64_t m_pollTimer { 0 };
     WorkerAnnouncement m_announcement;
-    bool m_hasReadRuns { false }; ///< `m_running` was read in the current incarnation, under this process's fence.
-    std::vector<WorkerRun> m_running;
-    std::vector<RunEnd> m_ends; ///< Not acknowledged yet.
-    bool m_hasMoreEnds { false }; ///< The worker's last list of ends may have been incomplete.
     std::vector<RunRefusal> m_refusals; ///< To be sent with the next report.
-    std::map<std::string, PendingStart> m_pendingStarts; ///< By task and attempt.
     ThrottleController m_throttle;
-    std::map<std::string, RunOrder> m_descriptions; ///< Orders without payload that describe the runs, by task.
 };
 
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/ThrottleController.cpp
+++ b/src/dispatch/ThrottleController.cpp
@@ -29,6 +29,13 @@
     return paused != m_paused.end() && paused->second ? 0 : fullSpeed;
 }
 
+void ThrottleController::forgetAll()
+{
+    m_latencyCritical.clear();
+    m_overSince.clear();
+    m_paused.clear();
+}
+
 bool ThrottleController::isPausing() const
 {
     return std::ranges::any_of(m_paused, [](const auto& entry) { return entry.second; });
--- a/src/dispatch/ThrottleController.h
+++ b/src/dispatch/ThrottleController.h
@@ -73,6 +73,9 @@
     /// next update pauses it again if it must.
     void forget(const std::string& task) { m_paused.erase(task); }
 
+    /// Discards all orders and measurements: the tasks are gone.
+    void forgetAll();
+
     /// Whether the task must be paused, or would have to be if it started now.
     bool mustPause(const BestEffortTask& bestEffortTask, Instant now) const;
 
--- a/src/dispatch/WorkerPort.h
+++ b/src/dispatch/WorkerPort.h
@@ -51,23 +51,40 @@
     bool hasMoreEnds { false }; ///< The worker may have further ends, which it lists once these are acknowledged.
 };
 
+/// The incarnation of the worker that a call is meant for, and the fence that the agent uses with it.
+struct WorkerIncarnation {
+    int64_t life { 0 }; ///< Unix milliseconds of its start. 0 for a call to whichever incarnation receives it.
+    uint64_t fence { 0 }; ///< The worker rejects a call with a lower fence than it has seen.
+};
+
 /// Calls to the worker on the agent's host.
 ///
-/// The fence increases with each process of the agent; the worker rejects a call with a lower fence than it has seen.
+/// A worker may restart under the same id and address. Numbers of ends, readings of its clock and runs belong to one
+/// incarnation, so a call is sent only on a connection on which the incarnation that it is meant for has answered. The
+/// call is refused with `restartedReason`, or answered with `Status::OtherIncarnation`, when another one answers. A
+/// call without an answer may nevertheless be carried out by a later incarnation, unless that one has seen a higher
+/// fence.
 class WorkerPort {
 public:
     virtual ~WorkerPort() = default;
-    virtual void start(
-        const RunOrder& order, int64_t leaseUntilMs, uint64_t fence, std::function<void(WorkerAnswer)> done)
+    virtual void start(const WorkerIncarnation& incarnation, const RunOrder& order, int64_t leaseUntilMs,
+        std::function<void(WorkerAnswer)> done)
+        = 0;
+    virtual void stop(const WorkerIncarnation& incarnation, const RunStop& stop, std::function<void(WorkerAnswer)> done)
         = 0;
-    virtual void stop(const RunStop& stop, uint64_t fence, std::function<void(WorkerAnswer)> done) = 0;
 
     /// Limits a run to `percent` of its full speed.
-    virtual void setSpeed(const RunStop& run, int64_t percent, uint64_t fence, std::function<void(WorkerAnswer)> done)
+    virtual void setSpeed(const WorkerIncarnation& incarnation, const RunStop& run, int64_t percent,
+        std::function<void(WorkerAnswer)> done)
+        = 0;
+    virtual void poll(
+        const WorkerIncarnation& incarnation, const WorkerPoll& poll, std::function<void(WorkerState)> done)
         = 0;
-    virtual void poll(const WorkerPoll& poll, uint64_t fence, std::function<void(WorkerState)> done) = 0;
 };
 
+/// Reason of a refused call that was meant for a former incarnation of the worker.
+constexpr const char* restartedReason = "worker_restarted";
+
 /// Status that a worker announces to its agent.
 struct WorkerAnnouncement {
     int64_t life { 0 }; ///< Incarnation: start of the worker process, Unix milliseconds.
--- a/tests/support/ModelWorker.h
+++ b/tests/support/ModelWorker.h
@@ -92,12 +92,11 @@
         answerPolls();
     }
 
-    /// Calls with a lower fence than the highest one seen, or for another incarnation than this one, have no effect.
-    /// `expectedLife` is 0 if the call names no incarnation.
-    dispatch::WorkerAnswer start(int64_t expectedLife, const RunOrder& order, int64_t leaseUntilMs, uint64_t fence)
+    /// Calls with a lower fence than the highest one seen have no effect.
+    dispatch::WorkerAnswer start(const RunOrder& order, int64_t leaseUntilMs, uint64_t fence)
     {
-        if (const auto refusal = refuse(expectedLife, fence); !refusal.empty())
-            return { dispatch::WorkerAnswer::Status::Refused, refusal };
+        if (isFenced(fence))
+            return { dispatch::WorkerAnswer::Status::Refused, "fence" };
         if (leaseUntilMs <= clockMs())
             return { dispatch::WorkerAnswer::Status::Refused, "late" };
         extendLease(leaseUntilMs);
@@ -112,10 +111,10 @@
         return { dispatch::WorkerAnswer::Status::Done, {} };
     }
 
-    dispatch::WorkerAnswer stop(int64_t expectedLife, const RunStop& stop, uint64_t fence)
+    dispatch::WorkerAnswer stop(const RunStop& stop, uint64_t fence)
     {
-        if (const auto refusal = refuse(expectedLife, fence); !refusal.empty())
-            return { dispatch::WorkerAnswer::Status::Refused, refusal };
+        if (isFenced(fence))
+            return { dispatch::WorkerAnswer::Status::Refused, "fence" };
         m_closedAttempts[stop.task] = std::max(m_closedAttempts[stop.task], stop.attempt);
         const auto run = m_runs.find(stop.task);
         if (run != m_runs.end() && run->second.attempt <= stop.attempt)
@@ -124,16 +123,12 @@
         return { dispatch::WorkerAnswer::Status::Done, {} };
     }
 
-    void poll(int64_t expectedLife, const dispatch::WorkerPoll& poll, uint64_t fence,
-        std::function<void(dispatch::WorkerState)> answer)
+    void poll(
+        const dispatch::WorkerPoll& poll, uint64_t fence, const std::function<void(dispatch::WorkerState)>& answer)
     {
-        using Status = dispatch::WorkerState::Status;
-        if (expectedLife != 0 && expectedLife != m_life)
-            return answer({ Status::OtherIncarnation, 0, 0, {}, {} });
         // The platform's refusal names the worker's clock, but not its incarnation.
-        if (fence < m_fence)
-            return answer({ Status::Fenced, 0, clockMs(), {}, {} });
-        m_fence = fence;
+        if (isFenced(fence))
+            return answer({ dispatch::WorkerState::Status::Fenced, 0, clockMs(), {}, {} });
         if (poll.leaseUntilMs)
             extendLease(*poll.leaseUntilMs);
         std::erase_if(m_ends, [&](const ListedEnd& listed) {
@@ -142,7 +137,7 @@
             m_callbacks.acknowledged(listed.end, listed.lapsed);
             return true;
         });
-        m_waitingPolls.emplace_back(m_clock.now() + poll.wait, std::move(answer));
+        m_waitingPolls.emplace_back(m_clock.now() + poll.wait, answer);
         answerPolls();
     }
 
@@ -159,14 +154,12 @@
 
     static constexpr int64_t maxLeaseMs = 6000;
 
-    std::string refuse(int64_t expectedLife, uint64_t fence)
+    bool isFenced(uint64_t fence)
     {
-        if (expectedLife != 0 && expectedLife != m_life)
-            return "other_incarnation";
         if (fence < m_fence)
-            return "fence";
+            return true;
         m_fence = fence;
-        return {};
+        return false;
     }
 
     void extendLease(int64_t untilMs)
@@ -238,41 +231,36 @@
     {
     }
 
-    /// Later calls name this incarnation.
-    void expect(int64_t life) { m_expectedLife = life; }
-
-    void start(const RunOrder& order, int64_t leaseUntilMs, uint64_t fence,
+    void start(const dispatch::WorkerIncarnation& incarnation, const RunOrder& order, int64_t leaseUntilMs,
         std::function<void(dispatch::WorkerAnswer)> done) override
     {
-        command(std::move(done), [life = m_expectedLife, order, leaseUntilMs, fence, worker = &m_worker] {
-            return worker->start(life, order, leaseUntilMs, fence);
+        command(incarnation, std::move(done), [order, leaseUntilMs, fence = incarnation.fence, worker = &m_worker] {
+            return worker->start(order, leaseUntilMs, fence);
         });
     }
 
-    void stop(const RunStop& stop, uint64_t fence, std::function<void(dispatch::WorkerAnswer)> done) override
+    void stop(const dispatch::WorkerIncarnation& incarnation, const RunStop& stop,
+        std::function<void(dispatch::WorkerAnswer)> done) override
     {
-        command(std::move(done),
-            [life = m_expectedLife, stop, fence, worker = &m_worker] { return worker->stop(life, stop, fence); });
+        command(incarnation, std::move(done),
+            [stop, fence = incarnation.fence, worker = &m_worker] { return worker->stop(stop, fence); });
     }
 
-    void setSpeed(const RunStop&, int64_t, uint64_t, std::function<void(dispatch::WorkerAnswer)> done) override
+    void setSpeed(const dispatch::WorkerIncarnation&, const RunStop&, int64_t,
+        std::function<void(dispatch::WorkerAnswer)> done) override
     {
         done({ dispatch::WorkerAnswer::Status::Done, {} });
     }
 
-    void poll(
-        const dispatch::WorkerPoll& poll, uint64_t fence, std::function<void(dispatch::WorkerState)> done) override
+    void poll(const dispatch::WorkerIncarnation& incarnation, const dispatch::WorkerPoll& poll,
+        std::function<void(dispatch::WorkerState)> done) override
     {
         const Fate fate = m_fate();
-        // As in the platform's client: an incarnation that is gone is not expected any more.
-        auto noteLife = [this, done = std::move(done)](const dispatch::WorkerState& state) {
-            if (state.status == dispatch::WorkerState::Status::OtherIncarnation)
-                m_expectedLife = 0;
-            done(state);
-        };
-        auto answer = answerOnce<dispatch::WorkerState>(std::move(noteLife), fate, poll.wait + answerTimeout);
-        m_network.after(fate.delay, [life = m_expectedLife, poll, fence, answer, worker = &m_worker] {
-            worker->poll(life, poll, fence, answer);
+        auto answer = answerOnce<dispatch::WorkerState>(std::move(done), fate, poll.wait + answerTimeout);
+        m_network.after(fate.delay, [incarnation, poll, answer, isLate = !fate.answered, worker = &m_worker] {
+            if (isForOther(incarnation, isLate, *worker))
+                return answer({ dispatch::WorkerState::Status::OtherIncarnation, 0, 0, {}, {} });
+            worker->poll(poll, incarnation.fence, answer);
         });
     }
 
@@ -296,18 +284,29 @@
         };
     }
 
-    void command(std::function<void(dispatch::WorkerAnswer)> done, const std::function<dispatch::WorkerAnswer()>& call)
+    void command(const dispatch::WorkerIncarnation& incarnation, std::function<void(dispatch::WorkerAnswer)> done,
+        const std::function<dispatch::WorkerAnswer()>& call)
     {
         const Fate fate = m_fate();
         auto answer = answerOnce<dispatch::WorkerAnswer>(std::move(done), fate, answerTimeout);
-        m_network.after(fate.delay, [call, answer] { answer(call()); });
+        m_network.after(fate.delay, [incarnation, call, answer, isLate = !fate.answered, worker = &m_worker] {
+            if (isForOther(incarnation, isLate, *worker))
+                return answer({ dispatch::WorkerAnswer::Status::Refused, dispatch::restartedReason });
+            answer(call());
+        });
+    }
+
+    /// Whether the call does not reach the worker, whose incarnation is not the one that has answered on the connection
+    /// of the call. A late call is carried out by whichever incarnation runs then: all have the same id.
+    static bool isForOther(const dispatch::WorkerIncarnation& incarnation, bool isLate, const ModelWorker& worker)
+    {
+        return !isLate && incarnation.life != 0 && incarnation.life != worker.life();
     }
 
     ModelWorker& m_worker;
     ManualTimers& m_network;
     ProcessTimers& m_process;
     std::function<Fate()> m_fate;
-    int64_t m_expectedLife { 0 };
 };
 
 } // namespace hemlocklead
--- a/tests/unit/DispatchAgentTest.cpp
+++ b/tests/unit/DispatchAgentTest.cpp
@@ -17,23 +17,27 @@
         {
         }
 
-        void start(const RunOrder& order, int64_t, uint64_t, std::function<void(dispatch::WorkerAnswer)> done) override
+        void start(const dispatch::WorkerIncarnation&, const RunOrder& order, int64_t,
+            std::function<void(dispatch::WorkerAnswer)> done) override
         {
             started.push_back(order.task);
             done({ dispatch::WorkerAnswer::Status::Done, {} });
         }
 
-        void stop(const RunStop&, uint64_t, std::function<void(dispatch::WorkerAnswer)> done) override
+        void stop(const dispatch::WorkerIncarnation&, const RunStop&,
+            std::function<void(dispatch::WorkerAnswer)> done) override
         {
             done({ dispatch::WorkerAnswer::Status::Done, {} });
         }
 
-        void setSpeed(const RunStop&, int64_t, uint64_t, std::function<void(dispatch::WorkerAnswer)> done) override
+        void setSpeed(const dispatch::WorkerIncarnation&, const RunStop&, int64_t,
+            std::function<void(dispatch::WorkerAnswer)> done) override
         {
             done({ dispatch::WorkerAnswer::Status::Done, {} });
         }
 
-        void poll(const dispatch::WorkerPoll& poll, uint64_t, std::function<void(dispatch::WorkerState)> done) override
+        void poll(const dispatch::WorkerIncarnation&, const dispatch::WorkerPoll& poll,
+            std::function<void(dispatch::WorkerState)> done) override
         {
             m_timers.after(poll.wait, [this, done = std::move(done)] {
                 done({ dispatch::WorkerState::Status::Ok, life, m_clock.now().time_since_epoch().count(), {}, {} });
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -15,9 +15,9 @@
     class DeferredWorker final : public WorkerPort {
     public:
         struct Start {
+            WorkerIncarnation incarnation;
             RunOrder order;
             int64_t leaseUntilMs;
-            uint64_t fence;
             std::function<void(WorkerAnswer)> done;
         };
 
@@ -27,31 +27,33 @@
         };
 
         struct Poll {
+            WorkerIncarnation incarnation;
             WorkerPoll poll;
-            uint64_t fence;
             std::function<void(WorkerState)> done;
         };
 
-        void start(const RunOrder& order, int64_t leaseUntilMs, uint64_t fence,
+        void start(const WorkerIncarnation& incarnation, const RunOrder& order, int64_t leaseUntilMs,
             std::function<void(WorkerAnswer)> done) override
         {
-            starts.push_back({ order, leaseUntilMs, fence, std::move(done) });
+            starts.push_back({ incarnation, order, leaseUntilMs, std::move(done) });
         }
 
-        void stop(const RunStop& stop, uint64_t, std::function<void(WorkerAnswer)> done) override
+        void stop(const WorkerIncarnation&, const RunStop& stop, std::function<void(WorkerAnswer)> done) override
         {
             stops.push_back({ stop, std::move(done) });
         }
 
-        void setSpeed(const RunStop& run, int64_t percent, uint64_t, std::function<void(WorkerAnswer)> done) override
+        void setSpeed(const WorkerIncarnation&, const RunStop& run, int64_t percent,
+            std::function<void(WorkerAnswer)> done) override
         {
             speeds.emplace_back(run.task, percent);
             done({ WorkerAnswer::Status::Done, {} });
         }
 
-        void poll(const WorkerPoll& poll, uint64_t fence, std::function<void(WorkerState)> done) override
+        void poll(const WorkerIncarnation& incarnation, const WorkerPoll& poll,
+            std::function<void(WorkerState)> done) override
         {
-            polls.push_back({ poll, fence, std::move(done) });
+            polls.push_back({ incarnation, poll, std::move(done) });
         }
 
         std::vector<Start> starts;
@@ -68,32 +70,36 @@
         {
         }
 
-        void start(const RunOrder& order, int64_t, uint64_t fence, std::function<void(WorkerAnswer)> done) override
+        void start(const WorkerIncarnation& incarnation, const RunOrder& order, int64_t,
+            std::function<void(WorkerAnswer)> done) override
         {
-            if (isRefused(fence))
+            if (isRefused(incarnation.fence))
                 return done({ WorkerAnswer::Status::Refused, "fence" });
             running.push_back({ { order.task, order.attempt, "", 0 }, 0 });
             done({ WorkerAnswer::Status::Done, {} });
         }
 
-        void stop(const RunStop& stop, uint64_t fence, std::function<void(WorkerAnswer)> done) override
+        void stop(
+            const WorkerIncarnation& incarnation, const RunStop& stop, std::function<void(WorkerAnswer)> done) override
         {
-            if (isRefused(fence))
+            if (isRefused(incarnation.fence))
                 return done({ WorkerAnswer::Status::Refused, "fence" });
             std::erase_if(running, [&](const WorkerRun& run) { return run.report.task == stop.task; });
             done({ WorkerAnswer::Status::Done, {} });
         }
 
-        void setSpeed(const RunStop&, int64_t, uint64_t, std::function<void(WorkerAnswer)> done) override
+        void setSpeed(
+            const WorkerIncarnation&, const RunStop&, int64_t, std::function<void(WorkerAnswer)> done) override
         {
             done({ WorkerAnswer::Status::Done, {} });
         }
 
-        void poll(const WorkerPoll& poll, uint64_t fence, std::function<void(WorkerState)> done) override
+        void poll(const WorkerIncarnation& incarnation, const WorkerPoll& poll,
+            std::function<void(WorkerState)> done) override
         {
             ++polls;
-            WorkerState state { WorkerState::Status::Fenced, life, m_clock.now().time_since_epoch().count(), {}, {} };
-            if (!isRefused(fence)) {
+            WorkerState state { WorkerState::Status::Fenced, life, (m_clock.now() - bornAt).count(), {}, {} };
+            if (!isRefused(incarnation.fence)) {
                 state.status = WorkerState::Status::Ok;
                 state.running = running;
                 leaseUntilMs = std::max(leaseUntilMs, poll.leaseUntilMs.value_or(0));
@@ -110,6 +116,7 @@
         }
 
         static constexpr int64_t life = 1'000'000;
+        Instant bornAt {};
         uint64_t highestFence { 0 };
         int64_t leaseUntilMs { 0 };
         int polls { 0 };
@@ -324,6 +331,36 @@
         }
     }
 
+    // Guards against work that waits for the next poll while orders already show that the worker has restarted.
+    TEST_F(HostAgentTest, start_refusedByNewIncarnation_pollsItAtOnce)
+    {
+        m_timers.run(Duration { 100 });
+        order(7, 1, "job.0.0.4", 1);
+        m_worker.polls.clear();
+        m_worker.starts[0].done({ WorkerAnswer::Status::Refused, restartedReason });
+        m_timers.run(Duration { 1 });
+        ASSERT_EQ(m_worker.polls.size(), 1u);
+        EXPECT_EQ(m_worker.polls[0].incarnation.life, 0);
+    }
+
+    // Guards against ends of a new incarnation that it discards unread when it carries out a late poll: each poll
+    // repeated the number of the former incarnation's last end.
+    TEST_F(HostAgentTest, acknowledgement_onceAnswered_isNotRepeated)
+    {
+        m_timers.run(Duration { 100 });
+        answerPoll({}, { { 5, "job.0.0.1", 1, "done", "" } });
+        HostOrders orders;
+        orders.epoch = 7;
+        orders.life = life;
+        orders.acknowledgedEnds = 5;
+        m_agent.handleOrders(orders);
+        m_timers.run(Duration { 10 });
+        ASSERT_EQ(m_worker.polls.back().poll.acknowledgedEnds, 5u);
+        answerPoll({});
+        m_timers.run(Duration { 100 });
+        EXPECT_EQ(m_worker.polls.back().poll.acknowledgedEnds, 0u);
+    }
+
     // Guards against ends of a new incarnation that it discards unread: while the agent does not know the incarnation,
     // the owner's acknowledgements refer to the former one.
     TEST_F(HostAgentTest, orders_whileIncarnationIsUnknown_acknowledgeNothing)
--- a/tests/unit/TakeoverSimulation.cpp
+++ b/tests/unit/TakeoverSimulation.cpp
@@ -155,12 +155,6 @@
         agent.start();
     }
 
-    void announced(const dispatch::WorkerAnnouncement& announcement)
-    {
-        if (agent.handleAnnouncement(announcement))
-            port.expect(announcement.life);
-    }
-
     void received(size_t entry, const std::shared_ptr<Connection>& connection, const HostOrders& orders)
     {
         if (!connection->agentOpen)
@@ -209,11 +203,10 @@
 private:
     static ModelWorkerPort::Fate fate(TakeoverSimulation& simulation)
     {
-        constexpr uint64_t lateCallOneIn = 40;
-        constexpr uint64_t longestDelayMs = 3000;
-        if (!simulation.m_workerCallsFaulty || simulation.m_random() % lateCallOneIn != 0)
+        const LateCalls& late = simulation.m_lateCalls;
+        if (late.oneIn == 0 || simulation.m_random() % late.oneIn != 0)
             return {};
-        return { Duration { simulation.m_random() % longestDelayMs }, false };
+        return { Duration { simulation.m_random() % static_cast<uint64_t>(late.longestDelay.count()) }, false };
     }
 
     void send(const HostReport& report) override
@@ -326,12 +319,11 @@
         for (size_t host = 0; host < hostCount; ++host)
             deliver(entry, host);
     }
-    constexpr Duration announceInterval { 500 };
     for (Host& host : m_hosts) {
         host.worker->step();
         if (host.agent && !host.agent->timers.isPaused() && m_clock.now() - host.announcedAt >= announceInterval) {
             host.announcedAt = m_clock.now();
-            host.agent->announced(host.worker->announce());
+            host.agent->agent.handleAnnouncement(host.worker->announce());
         }
     }
     if ((m_clock.now() - m_startedAt) % tickInterval == Duration { 0 }) {
@@ -390,18 +382,18 @@
     m_hosts[host].agent = std::make_unique<AgentProcess>(*this, host);
 }
 
-void TakeoverSimulation::restartWorker(size_t host)
+void TakeoverSimulation::restartWorker(size_t host, Duration firstAnnouncement)
 {
     note("restart of the worker of " + m_hosts[host].name);
     m_hosts[host].worker->restart();
     std::erase_if(m_doneRuns, [host](const auto& done) { return done.second == host; });
-    m_hosts[host].announcedAt = {};
+    m_hosts[host].announcedAt = m_clock.now() + firstAnnouncement - announceInterval;
 }
 
 void TakeoverSimulation::healAll()
 {
     note("heal");
-    m_workerCallsFaulty = false;
+    m_lateCalls = {};
     for (size_t entry = 0; entry < entryCount; ++entry) {
         setStoreAccess(entry, StoreAccess::Normal);
         allowClaims(entry);
--- a/tests/unit/TakeoverSimulation.h
+++ b/tests/unit/TakeoverSimulation.h
@@ -64,10 +64,15 @@
     void endAgent(size_t host);
     void startAgent(size_t host);
     bool hasAgent(size_t host) const { return m_hosts[host].agent != nullptr; }
-    void restartWorker(size_t host);
+    /// The new incarnation announces itself for the first time after `firstAnnouncement`.
+    void restartWorker(size_t host, Duration firstAnnouncement = Duration { 0 });
 
     /// With `faulty`, some calls to workers are carried out late and are not answered.
-    void setWorkerCallsFaulty(bool faulty) { m_workerCallsFaulty = faulty; }
+    void setWorkerCallsFaulty(bool faulty) { m_lateCalls = { faulty ? 40u : 0u, Duration { 3000 } }; }
+
+    /// One call to a worker in `oneIn` is not answered, and is carried out at any time within `longestDelay`, by
+    /// whichever incarnation runs then. 0 for none.
+    void setLateCalls(uint64_t oneIn, Duration longestDelay) { m_lateCalls = { oneIn, longestDelay }; }
 
     void healAll();
 
@@ -116,6 +121,11 @@
         bool mayClaim { false };
     };
 
+    struct LateCalls {
+        uint64_t oneIn { 0 };
+        Duration longestDelay { 0 };
+    };
+
     struct Host {
         std::string name;
         std::unique_ptr<ModelWorker> worker;
@@ -145,6 +155,7 @@
     static constexpr Duration networkDelay { 3 };
     static constexpr Duration storeDelay { 4 };
     static constexpr Duration tickInterval { 25 };
+    static constexpr Duration announceInterval { 500 };
 
     ManualClock m_clock;
     ManualTimers m_timers { m_clock };
@@ -154,7 +165,7 @@
     std::array<Entry, entryCount> m_entries;
     std::array<Host, hostCount> m_hosts;
     std::array<std::array<Link, hostCount>, entryCount> m_links;
-    bool m_workerCallsFaulty { false };
+    LateCalls m_lateCalls;
     size_t m_starts { 0 };
     std::vector<std::string> m_trace;
     std::vector<std::string> m_violations;
--- a/tests/unit/ThinLinkTest.cpp
+++ b/tests/unit/ThinLinkTest.cpp
@@ -22,7 +22,8 @@
         {
         }
 
-        void start(const RunOrder& order, int64_t, uint64_t, std::function<void(WorkerAnswer)> done) override
+        void start(
+            const WorkerIncarnation&, const RunOrder& order, int64_t, std::function<void(WorkerAnswer)> done) override
         {
             ++starts;
             m_running.insert_or_assign(order.task, Run { order.attempt, m_clock.now(), std::stoll(order.payload) });
@@ -31,7 +32,7 @@
             done({ WorkerAnswer::Status::Done, {} });
         }
 
-        void stop(const RunStop& stop, uint64_t, std::function<void(WorkerAnswer)> done) override
+        void stop(const WorkerIncarnation&, const RunStop& stop, std::function<void(WorkerAnswer)> done) override
         {
             if (const auto run = m_running.find(stop.task);
                 run != m_running.end() && run->second.attempt == stop.attempt)
@@ -39,12 +40,13 @@
             done({ WorkerAnswer::Status::Done, {} });
         }
 
-        void setSpeed(const RunStop&, int64_t, uint64_t, std::function<void(WorkerAnswer)> done) override
+        void setSpeed(
+            const WorkerIncarnation&, const RunStop&, int64_t, std::function<void(WorkerAnswer)> done) override
         {
             done({ WorkerAnswer::Status::Done, {} });
         }
 
-        void poll(const WorkerPoll& poll, uint64_t, std::function<void(WorkerState)> done) override
+        void poll(const WorkerIncarnation&, const WorkerPoll& poll, std::function<void(WorkerState)> done) override
         {
             std::erase_if(m_ends, [&](const RunEnd& end) { return end.number <= poll.acknowledgedEnds; });
             const uint64_t number = ++m_poll;
