--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -289,7 +289,7 @@
     }
     for (const EndAck& ack : commit.acks) {
         HostState* host = m_hosts.find(ack.host);
-        if (host && host->last.life == ack.life)
+        if (host && host->life == ack.life)
             host->endsDurable = std::max(host->endsDurable, ack.number);
     }
     m_durableStarts.insert(m_durableStarts.end(), commit.starts.begin(), commit.starts.end());
@@ -338,7 +338,7 @@
     if (!isNeeded || !isReachable(host))
         return markRunLost(host, name, isNeeded ? "host_left_before_order" : "not_wanted");
     // The order would be carried out by the incarnation that is known now, but the record names the one before.
-    if (job->find(start.task)->life != host.last.life)
+    if (job->find(start.task)->life != host.life)
         return markRunLost(host, name, "worker_restarted");
     run->second.stage = HostRun::Stage::Ordered;
     if (job->find(start.task)->checkpoint.empty())
@@ -395,8 +395,8 @@
             continue;
         HostOrders orders = std::exchange(host.outbox, {});
         orders.epoch = m_writer.epoch();
-        orders.life = host.last.life;
-        orders.echoMs = host.last.clockMs;
+        orders.life = host.life;
+        orders.echoMs = host.acceptsOrders() ? host.last.clockMs : 0;
         orders.acknowledgedEnds = host.endsDurable;
         orders.startsValidMs = startValidity(host).count();
         host.outbox.acknowledgedEnds = host.endsDurable;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -230,7 +230,7 @@
     const Instant now = m_clock.now();
     ++task.attempt;
     task.host = host.name;
-    task.life = host.last.life;
+    task.life = host.life;
     task.percent = 0;
     job.setTaskPhase(id, TaskPhase::Placed);
     m_hosts.add(host, id, task.attempt, job.spec().steps[id.step], HostRun::Stage::AwaitingCommit);
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -36,10 +36,12 @@
     if (!host.reported && !report.full && !report.silent)
         return;
     const bool stateChanged = report.silent != host.last.silent || report.draining != host.last.draining;
-    const int64_t formerLife = host.last.life;
     const bool isNewReading
-        = host.clockReadAt == Instant {} || report.life != formerLife || report.clockMs != host.last.clockMs;
-    if (report.life != 0 && report.life != formerLife)
+        = host.clockReadAt == Instant {} || report.life != host.last.life || report.clockMs != host.last.clockMs;
+    // Until a worker refuses former owners and late calls to its former incarnations, either may still start runs.
+    const bool isFinal
+        = report.full && (!report.fencesEpochs || (report.epochFenced && report.epochSeen == m_writer.epoch()));
+    if (isFinal && report.life != 0 && report.life != host.life)
         workerLifeChanged(host, report);
     if (report.epochFenced && report.epochSeen == m_writer.epoch())
         host.fencedLife = report.life;
@@ -56,8 +58,10 @@
     host.reportedAt = m_clock.now();
     if (isNewReading)
         updateLeaseEnd(host);
-    for (const RunEnd& end : report.ends)
-        applyEnd(host, end);
+    if (report.life == host.life) {
+        for (const RunEnd& end : report.ends)
+            applyEnd(host, end);
+    }
     for (const RunRefusal& refusal : report.refusals)
         applyRefusal(host, refusal);
     if (report.lapsed && host.showsAbsence())
@@ -140,10 +144,11 @@
     LogEvent(LogLevel::Info, "worker_life")
         .field("host", host.name)
         .field("life", report.life)
-        .field("former", host.last.life)
+        .field("former", host.life)
         .field("service", report.service)
         .field("cpu_milli", report.capacity.cpuMilli)
         .field("runs", static_cast<uint64_t>(host.runs.size()));
+    host.life = report.life;
     host.endsApplied = 0;
     host.endsDurable = 0;
     host.outbox.acknowledgedEnds = 0;
@@ -179,7 +184,7 @@
     if (end.number <= host.endsApplied)
         return;
     host.endsApplied = end.number;
-    m_pendingAcks.push_back({ host.name, host.last.life, end.number });
+    m_pendingAcks.push_back({ host.name, host.life, end.number });
     std::optional<Instant> fullRunOrderedAt;
     if (const auto run = host.runs.find(end.task); run != host.runs.end() && run->second.attempt == end.attempt) {
         fullRunOrderedAt = run->second.fullRunOrderedAt;
@@ -197,7 +202,7 @@
         .field("number", end.number)
         .field("applied", isAwaited ? 1 : 0)
         .field("epoch", m_writer.epoch())
-        .field("life", host.last.life);
+        .field("life", host.life);
     if (!isAwaited)
         return;
     if (end.reason == "done" && fullRunOrderedAt)
@@ -331,7 +336,7 @@
             .field("recorded_attempt", task ? task->attempt : 0)
             .field("recorded_host", task ? task->host : std::string())
             .field("epoch", m_writer.epoch())
-            .field("life", host.last.life);
+            .field("life", host.life);
         return;
     }
     auto run = host.runs.find(row.task);
@@ -402,7 +407,7 @@
         .field("attempt", run.attempt)
         .field("reason", reason)
         .field("epoch", m_writer.epoch())
-        .field("life", host.last.life)
+        .field("life", host.life)
         .field("order", run.sequence)
         .field("adopted", run.stage == HostRun::Stage::Adopted ? 1 : 0)
         .field("report_age_ms", static_cast<int64_t>((m_clock.now() - host.reportedAt).count()))
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -15,10 +15,14 @@
     /// An unanswered stop is abandoned after this many tries; the owner repeats it if it is still needed.
     constexpr int maxStopTries = 5;
 
-    /// A fence is the owner's epoch times this, plus a number that the agent raises when the worker refuses it. Fences
-    /// stay exact as JSON numbers for epochs up to 2^29.
+    /// A fence is the owner's epoch times this, plus a lower part. Fences stay exact as JSON numbers for epochs up to
+    /// 2^29.
     constexpr uint64_t fencesPerEpoch = uint64_t { 1 } << 24;
 
+    /// The lower part begins with the number of the owner's connection, which is higher for each later process of the
+    /// agent. What is left counts the incarnations of the worker during the connection.
+    constexpr uint64_t fencesPerConnection = 64;
+
 } // namespace
 
 HostAgent::HostAgent(WorkerPort& worker, ReportSender& sender, JournalService& journal, Timers& timers,
@@ -96,6 +100,7 @@
 {
     if (isStale(orders))
         return false;
+    const bool isNewConnection = orders.epoch > m_epochSeen || orders.connection > m_ownerConnection;
     if (orders.epoch > m_epochSeen) {
         LogEvent(LogLevel::Info, "owner_accepted")
             .field("epoch", orders.epoch)
@@ -105,6 +110,8 @@
         acceptEpoch(orders.epoch);
     }
     m_ownerConnection = orders.connection;
+    if (isNewConnection && m_fence != 0)
+        m_fence = std::max(m_fence, firstFence());
     m_ownerCountsReports |= orders.readsPackedReports;
     m_reportsRead = std::max(m_reportsRead, orders.reportsRead);
     // While the incarnation is unknown, acknowledgements and readings of the clock belong to a former one.
@@ -146,19 +153,26 @@
     m_ownerConnection = 0;
     // What the former owner has granted must not reach the worker under the fence of this one.
     m_view.leaseUntilMs = 0;
-    // The worker's clock increases across restarts of the agent, so the first fence of a process mostly exceeds those
-    // of earlier ones.
-    if (m_fence != 0)
-        m_fence = std::max(m_fence, epoch * fencesPerEpoch + static_cast<uint64_t>(workerClockMs()) % fencesPerEpoch);
+    m_fence = m_fence == 0 ? 0 : std::max(m_fence, epoch * fencesPerEpoch);
     schedulePoll(Duration { 0 });
 }
 
+uint64_t HostAgent::firstFence() const
+{
+    const uint64_t lowest = m_epochSeen * fencesPerEpoch;
+    if (m_ownerConnection > 0)
+        return lowest + std::min(m_ownerConnection * fencesPerConnection, fencesPerEpoch - fencesPerConnection);
+    // Builds of the owner that do not number their connections. The worker's clock increases across restarts of the
+    // agent.
+    return lowest + static_cast<uint64_t>(std::max<int64_t>(workerClockMs(), 0)) % (fencesPerEpoch - 1) + 1;
+}
+
 void HostAgent::raiseFence()
 {
     const uint64_t lowest = m_epochSeen * fencesPerEpoch;
     const uint64_t highest = lowest + fencesPerEpoch - 1;
     if (m_fence == 0) {
-        m_fence = lowest + static_cast<uint64_t>(std::max<int64_t>(m_view.clockMs, 0)) % (fencesPerEpoch - 1) + 1;
+        m_fence = firstFence();
         return schedulePoll(Duration { 0 });
     }
     // Without an owner there is nothing to do on the worker, and the first owner's epoch decides.
@@ -362,8 +376,13 @@
         return schedulePoll(m_settings.minPollInterval);
     }
     // A refusal does not name the incarnation.
-    if (state.life != 0 && state.life != m_view.life)
+    if (state.life != 0 && state.life != m_view.life) {
+        const bool isFirst = m_view.life == 0;
         beginIncarnation(state.life);
+        // This answer was read under the fence of the former incarnation.
+        if (!isFirst)
+            return schedulePoll(Duration { 0 });
+    }
     if (state.status == WorkerState::Status::Ok) {
         m_view.clockMs = state.clockMs;
         m_view.clockReadAt = m_clock.now();
@@ -441,7 +460,10 @@
 
 void HostAgent::beginIncarnation(int64_t life)
 {
-    LogEvent(LogLevel::Info, "worker_life").field("life", life).field("former", m_view.life);
+    // The next incarnation carries out late calls that were meant for this one until it has seen a higher fence.
+    if (m_view.life != 0)
+        ++m_fence;
+    LogEvent(LogLevel::Info, "worker_life").field("life", life).field("former", m_view.life).field("fence", m_fence);
     m_view = {};
     m_view.life = life;
     m_throttle.forgetAll();
@@ -511,8 +533,8 @@
     message.epochSeen = m_epochSeen;
     message.silent = m_unansweredPolls >= m_settings.pollsUntilSilent;
     message.lapsed = message.silent && m_clock.now() > m_leaseEnd;
-    message.life = m_view.life;
-    message.clockMs = m_view.clockMs;
+    message.life = m_view.hasReadRuns ? m_view.life : 0;
+    message.clockMs = m_view.hasReadRuns ? m_view.clockMs : 0;
     message.service = m_announcement.service;
     message.dataCentre = m_announcement.dataCentre;
     message.rack = m_announcement.rack;
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -25,7 +25,9 @@
 /// which epochs it has seen. It extends the worker's leases only up to a fixed time after the reading of the worker's
 /// clock that the owner has echoed. It reports a start as refused only when the run can no longer start.
 ///
-/// The worker may be replaced by another incarnation at any time, under the same id and address.
+/// The worker may be replaced by another incarnation at any time. The fence rises with each incarnation, so the next
+/// one refuses late calls that were meant for the former ones as soon as it has answered a poll. Only the list of runs
+/// in such an answer is reported, as the first one of that incarnation.
 class HostAgent {
 public:
     struct Settings {
@@ -143,7 +145,7 @@
         uint64_t acknowledgedEnds { 0 };
         uint64_t discardedEnds { 0 }; ///< The worker has answered a poll that acknowledged the ends up to this one.
         bool epochFenced { false }; ///< The worker has accepted a fence of `m_epochSeen`.
-        bool hasReadRuns { false }; ///< `running` was read under this process's fence.
+        bool hasReadRuns { false }; ///< `running` was read under a fence that no earlier incarnation has seen.
         uint64_t settledOrders { 0 };
         std::vector<WorkerRun> running;
         std::vector<RunEnd> ends; ///< Not acknowledged yet.
@@ -160,6 +162,7 @@
     void abandonIncarnation();
     WorkerIncarnation incarnation() const { return { m_view.life, m_fence }; }
     void acceptEpoch(uint64_t epoch);
+    uint64_t firstFence() const;
     void raiseFence();
     void checkEpoch();
     void handleUnansweredPoll();
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -124,7 +124,7 @@
 
 bool isUsable(const HostState& host, const PlacementContext& context)
 {
-    return host.connected && host.reported && host.last.life != 0 && !host.last.draining && !host.last.silent
+    return host.connected && host.reported && host.acceptsOrders() && !host.last.draining && !host.last.silent
         && context.now - host.reportedAt <= context.maxReportAge
         && !context.closedDataCentres.contains(host.last.dataCentre) && !context.isEjected(host.name);
 }
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -65,6 +65,9 @@
     Instant clockReadAt {}; ///< When the newest reading of the worker's clock arrived; leases count from a reading.
     Instant leaseEnd {}; ///< All leases on the host's worker have expired after this.
     HostReport last; ///< The last report, without its lists.
+    /// Newest incarnation of the worker of which a complete list of runs has arrived; 0 without one. The orders, the
+    /// ends and the readings of the clock that are accounted for are those of this incarnation.
+    int64_t life { 0 };
     /// Incarnation of the worker that refuses the calls of all former owners; 0 if none is known to. As long as this is
     /// not known, a former owner may extend leases and order starts there through another process of the agent.
     int64_t fencedLife { 0 };
@@ -92,6 +95,9 @@
     /// the agent's present process has no known incarnation, and is the one known before.
     bool isFenced() const { return fencedLife != 0 && (last.life == 0 || last.life == fencedLife); }
 
+    /// Whether the worker can be given orders, as far as the reports show.
+    bool acceptsOrders() const { return life != 0 && last.life == life; }
+
     /// Whether the absence of a run from a report shows that it does not exist. Agents of earlier builds do not say
     /// whether the worker refuses former owners.
     bool showsAbsence() const { return isFenced() || !last.fencesEpochs; }
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -583,6 +583,33 @@
         EXPECT_EQ(entry.sender.starts.size(), 2u);
     }
 
+    // Guards against a second run of a task that a late order still starts in the worker's new incarnation: only a list
+    // that is read under a higher fence than the former one's shows that nothing runs there (review, case 7).
+    TEST_F(DispatcherTest, workerRestarted_hasNotSeenItsFence_declaresNoRunLost)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { step(1, 1000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        HostReport report = reportOf("host-1");
+        report.life = 78;
+        report.clockMs = 20;
+        report.fencesEpochs = true;
+        report.epochSeen = entry.writer.epoch();
+        entry.dispatcher.hostReported("host-1", report);
+        report.epochFenced = true;
+        report.full = false;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 300 });
+        EXPECT_EQ(entry.sender.starts.size(), 1u);
+        report.full = true;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 300 });
+        EXPECT_EQ(entry.sender.starts.size(), 2u);
+    }
+
     // Guards against runs that stay assigned for good to a worker that was lost before its agent restarted: the agent
     // is connected but never learns the worker's incarnation (review, case 1: lasting tasks never ran again). The
     // leases count from the last reading of the worker's clock, however often the owner has repeated it.
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -331,6 +331,37 @@
         }
     }
 
+    // Guards against orders that were left unanswered by a former incarnation and are carried out by the next one,
+    // which has the same id: the owner took them for lost (review, case 7: 4 to 6 tasks ran twice).
+    TEST_F(HostAgentTest, newIncarnation_isPolled_fenceIsHigherThanThatOfTheFormerOne)
+    {
+        m_timers.run(Duration { 100 });
+        order(7, 1, "job.0.0.4", 1);
+        ASSERT_EQ(m_worker.starts.size(), 1u);
+        m_worker.polls.back().done({ WorkerState::Status::OtherIncarnation, 0, 0, {}, {} });
+        m_timers.run(Duration { 60 });
+        EXPECT_EQ(m_worker.polls.back().incarnation.life, 0);
+        EXPECT_GT(m_worker.polls.back().incarnation.fence, m_worker.starts[0].incarnation.fence);
+    }
+
+    // Guards against a task that is started again although a late order still starts it in the new incarnation: a list
+    // read under the former one's fence proves nothing.
+    TEST_F(HostAgentTest, newIncarnation_answersUnderTheFormerFence_isReportedAfterTheNextAnswer)
+    {
+        m_timers.run(Duration { 100 });
+        const size_t reports = m_sender.reports.size();
+        const auto former = m_worker.polls.back();
+        former.done({ WorkerState::Status::Ok, life + 1, 5, {}, {} });
+        for (size_t i = reports; i < m_sender.reports.size(); ++i)
+            EXPECT_NE(m_sender.reports[i].life, life + 1);
+        m_timers.run(Duration { 10 });
+        ASSERT_GT(m_worker.polls.back().incarnation.fence, former.incarnation.fence);
+        m_worker.polls.back().done({ WorkerState::Status::Ok, life + 1, 15, {}, {} });
+        EXPECT_EQ(lastReport().life, life + 1);
+        EXPECT_TRUE(lastReport().full);
+        EXPECT_TRUE(lastReport().epochFenced);
+    }
+
     // Guards against work that waits for the next poll while orders already show that the worker has restarted.
     TEST_F(HostAgentTest, start_refusedByNewIncarnation_pollsItAtOnce)
     {
@@ -489,6 +520,23 @@
         EXPECT_EQ(m_worker.running.size(), 2u);
     }
 
+    // Guards against late calls of a former process of the agent that are carried out by an incarnation of the worker
+    // that has seen none of its fences.
+    TEST_F(RestartedAgentTest, workerAndAgentRestart_fenceIsHigherThanThoseOfTheFormerProcess)
+    {
+        startAgent();
+        EXPECT_TRUE(order(9000, "job.0.0.0", 3));
+        const uint64_t former = m_worker.highestFence;
+        endAgent();
+
+        m_worker.highestFence = 0;
+        m_worker.bornAt = m_clock.now();
+        m_worker.running.clear();
+        startAgent();
+        EXPECT_TRUE(order(9000, "job.0.0.1", 4));
+        EXPECT_GT(m_worker.highestFence, former);
+    }
+
     // Guards against a lease that a former owner has granted and that reaches the worker under its successor's fence.
     TEST_F(RestartedAgentTest, newestOwner_accepted_doesNotConveyTheFormerOwnersLease)
     {
--- a/tests/unit/InterferenceTest.cpp
+++ b/tests/unit/InterferenceTest.cpp
@@ -216,6 +216,7 @@
             host.connected = true;
             host.reported = true;
             host.reportedAt = m_now;
+            host.life = 1;
             host.last.life = 1;
             host.last.service = "service";
             host.last.rack = "rack-" + name;
