--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -38,6 +38,9 @@
     struct Settings {
         Duration lease { 5000 }; ///< A host ends its runs when it has received no orders for this long.
         Duration leaseMargin { 400 }; ///< Covers a worker clock that is 2% slow, and late timers.
+        /// The worker grants no longer lease than this. Late calls that were meant for a former incarnation may have
+        /// asked for any.
+        Duration maxLease { 6000 };
         Duration authority { 8000 }; ///< Leases are renewed this long after the last append that confirmed ownership.
         /// A host without a report for this long is recorded as one whose leases the owner does not extend. The last
         /// lease then ends soon, so a host that is back does not depend on the store for its next one.
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -43,8 +43,11 @@
         = report.full && (!report.fencesEpochs || (report.epochFenced && report.epochSeen == m_writer.epoch()));
     if (isFinal && report.life != 0 && report.life != host.life)
         workerLifeChanged(host, report);
-    if (report.epochFenced && report.epochSeen == m_writer.epoch())
+    if (report.epochFenced && report.epochSeen == m_writer.epoch() && report.life != host.fencedLife) {
         host.fencedLife = report.life;
+        if (report.leaseInherited)
+            host.inheritedLeaseEnd = m_clock.now() + m_settings.maxLease + m_settings.leaseMargin;
+    }
     // An agent of an earlier build has taken over: it raises its fence without regard to epochs.
     if (!report.fencesEpochs && host.fencedLife != 0) {
         host.fencedLife = 0;
@@ -89,7 +92,7 @@
     host.clockReadAt = m_clock.now();
     const Instant ownEnd = host.clockReadAt + m_settings.lease + m_settings.leaseMargin;
     // Until the worker refuses former owners, a later process of the agent may obey one of them again.
-    host.leaseEnd = host.isFenced() ? ownEnd : std::max(host.leaseEnd, ownEnd);
+    host.leaseEnd = std::max(ownEnd, host.isFenced() ? host.inheritedLeaseEnd : host.leaseEnd);
 }
 
 void Dispatcher::learnInterference(HostState& host, const HostReport& report)
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -406,6 +406,8 @@
     m_view.running = std::move(state.running);
     m_view.hasMoreEnds = state.hasMoreEnds;
     m_view.hasReadRuns = true;
+    if (!m_view.firstListMs && m_view.epochFenced)
+        m_view.firstListMs = state.clockMs;
     m_view.settledOrders = sent.connection == m_connection ? sent.settledOrders : 0;
     std::erase_if(m_view.pendingStarts, [&](const auto& entry) {
         return entry.second.lastPollBeforeAnswer && *entry.second.lastPollBeforeAnswer < sent.number;
@@ -467,6 +469,9 @@
     m_view = {};
     m_view.life = life;
     m_throttle.forgetAll();
+    // The calls that it has carried out until then may have extended its lease.
+    if (life != 0)
+        m_leaseEnd = std::max(m_leaseEnd, leaseEndAfter(m_settings.maxLease));
     // Announcements of another incarnation do not apply to this one.
     if (m_announcement.life != life)
         m_announcement = {};
@@ -491,6 +496,12 @@
     schedulePoll(m_settings.retry);
 }
 
+bool HostAgent::isLeaseInherited() const
+{
+    return m_view.firstListMs
+        && *m_view.firstListMs + m_settings.maxLease.count() > m_view.clockMs + m_settings.lease.count();
+}
+
 Instant HostAgent::leaseEndAfter(Duration workerTime) const
 {
     const double time = static_cast<double>(workerTime.count()) * m_settings.clockDriftFactor;
@@ -547,6 +558,7 @@
     message.hasMoreEnds = m_view.hasMoreEnds;
     message.fencesEpochs = true;
     message.epochFenced = m_view.epochFenced;
+    message.leaseInherited = isLeaseInherited();
     message.settledOrders = m_view.settledOrders;
     if (message.full) {
         for (const WorkerRun& run : m_view.running)
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -82,6 +82,10 @@
         /// The worker's timers may fire late.
         Duration leaseExpiryMargin { 300 };
 
+        /// The worker grants no longer lease than this. A late call that was meant for a former incarnation may have
+        /// asked for any.
+        Duration maxLease { 6000 };
+
         ThrottleController::Settings throttle {};
     };
 
@@ -141,6 +145,9 @@
         int64_t life { 0 }; ///< 0 until the incarnation has answered.
         int64_t clockMs { 0 };
         Instant clockReadAt {};
+        /// When it first answered under a fence of the owner that no earlier incarnation has seen. Until then, a late
+        /// call could extend its lease.
+        std::optional<int64_t> firstListMs;
         int64_t leaseUntilMs { 0 }; ///< End of the lease granted by the owner, on the worker's clock.
         uint64_t acknowledgedEnds { 0 };
         uint64_t discardedEnds { 0 }; ///< The worker has answered a poll that acknowledged the ends up to this one.
@@ -166,6 +173,7 @@
     void raiseFence();
     void checkEpoch();
     void handleUnansweredPoll();
+    bool isLeaseInherited() const;
     Instant leaseEndAfter(Duration workerTime) const;
     void noteLeaseGranted();
     int64_t workerClockMs() const;
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -68,6 +68,8 @@
     /// Newest incarnation of the worker of which a complete list of runs has arrived; 0 without one. The orders, the
     /// ends and the readings of the clock that are accounted for are those of this incarnation.
     int64_t life { 0 };
+    /// Late calls that were meant for earlier incarnations may have extended the lease of this one until then.
+    Instant inheritedLeaseEnd {};
     /// Incarnation of the worker that refuses the calls of all former owners; 0 if none is known to. As long as this is
     /// not known, a former owner may extend leases and order starts there through another process of the agent.
     int64_t fencedLife { 0 };
--- a/src/protocol/DispatchMessages.h
+++ b/src/protocol/DispatchMessages.h
@@ -98,6 +98,9 @@
     bool hasMoreEnds { false }; ///< `ends` is incomplete: the worker lists a limited number of ends at a time.
     bool fencesEpochs { false }; ///< The agent makes the worker refuse former owners; earlier builds do not.
     bool epochFenced { false }; ///< The worker refuses the calls of all owners before `epochSeen`.
+    /// Late calls that were meant for a former incarnation of the worker may have extended its lease beyond the one
+    /// that counts from `clockMs`.
+    bool leaseInherited { false };
     uint64_t settledOrders { 0 }; ///< Orders up to this one were carried out or refused before `running` was read.
     std::vector<RunReport> running;
     std::vector<RunReport> pending;
--- a/src/protocol/MessageJson.h
+++ b/src/protocol/MessageJson.h
@@ -44,7 +44,7 @@
 HEMLOCKLEAD_JSON(PairInterference, serving, filling, takenPerCore)
 HEMLOCKLEAD_JSON(HostReport, host, epochSeen, life, clockMs, service, dataCentre, rack, labels, capacity, draining,
     remainingMs, silent, lapsed, refusesBestEffort, full, hasMoreEnds, settledOrders, running, pending, ends, refusals,
-    fencesEpochs, epochFenced)
+    fencesEpochs, epochFenced, leaseInherited)
 HEMLOCKLEAD_JSON(PackedHostReport, data)
 HEMLOCKLEAD_JSON(HostOrders, epoch, life, echoMs, acknowledgedEnds, starts, stops, known, disturbances,
     readsPackedReports, reportsRead, connection, startsValidMs)
--- a/src/protocol/ReportPacking.cpp
+++ b/src/protocol/ReportPacking.cpp
@@ -19,6 +19,7 @@
     constexpr uint64_t moreEndsFlag = 256;
     constexpr uint64_t fencesEpochsFlag = 512;
     constexpr uint64_t epochFencedFlag = 1024;
+    constexpr uint64_t leaseInheritedFlag = 2048;
     constexpr uint64_t allEndsFlag = 64; ///< All ends follow; otherwise only those added at the end of the list.
 
     /// The numbers of a run that change while it runs, each with a bit in the mask of its row.
@@ -148,7 +149,8 @@
     uint64_t flags = (report.draining ? drainingFlag : 0) | (report.silent ? silentFlag : 0)
         | (report.lapsed ? lapsedFlag : 0) | (report.full ? fullFlag : 0)
         | (report.refusesBestEffort ? refusesBestEffortFlag : 0) | (report.hasMoreEnds ? moreEndsFlag : 0)
-        | (report.fencesEpochs ? fencesEpochsFlag : 0) | (report.epochFenced ? epochFencedFlag : 0);
+        | (report.fencesEpochs ? fencesEpochsFlag : 0) | (report.epochFenced ? epochFencedFlag : 0)
+        | (report.leaseInherited ? leaseInheritedFlag : 0);
     if (!describeSameHost(report, m_last))
         flags |= descriptionFlag;
     if (report.epochSeen != m_last.epochSeen || report.life != m_last.life)
@@ -242,6 +244,7 @@
     m_last.hasMoreEnds = (flags & moreEndsFlag) != 0;
     m_last.fencesEpochs = (flags & fencesEpochsFlag) != 0;
     m_last.epochFenced = (flags & epochFencedFlag) != 0;
+    m_last.leaseInherited = (flags & leaseInheritedFlag) != 0;
     if ((flags & descriptionFlag) != 0)
         takeDescription(in, m_last);
     if ((flags & epochFlag) != 0) {
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -610,6 +610,29 @@
         EXPECT_EQ(entry.sender.starts.size(), 2u);
     }
 
+    // Guards against a second run of a task 5.4 s after the last reading of a clock whose worker may hold a lease of 6
+    // s from a late call (issue 40).
+    TEST_F(DispatcherTest, hostLost_leaseMayBeInherited_taskRestartsAfterTheLongestLease)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        HostReport report = reportOf("host-1");
+        report.fencesEpochs = true;
+        report.epochSeen = entry.writer.epoch();
+        report.epochFenced = true;
+        report.leaseInherited = true;
+        entry.dispatcher.hostConnected("host-1");
+        entry.dispatcher.hostReported("host-1", report);
+        submit("job", { step(1, 1000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        entry.dispatcher.hostDisconnected("host-1");
+        runConnected(entry, "host-2", Duration { 5900 });
+        EXPECT_EQ(entry.sender.starts.size(), 1u);
+        runConnected(entry, "host-2", Duration { 700 });
+        EXPECT_EQ(entry.sender.starts.size(), 2u);
+    }
+
     // Guards against runs that stay assigned for good to a worker that was lost before its agent restarted: the agent
     // is connected but never learns the worker's incarnation (review, case 1: lasting tasks never ran again). The
     // leases count from the last reading of the worker's clock, however often the owner has repeated it.
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -362,6 +362,20 @@
         EXPECT_TRUE(lastReport().epochFenced);
     }
 
+    // Guards against a lease that lasts longer than the owner counts: late calls that were meant for the former
+    // incarnation may have extended that of the next one to its maximum until it had seen a higher fence.
+    TEST_F(HostAgentTest, newIncarnation_hasJustAnswered_reportsThatItsLeaseMayBeInherited)
+    {
+        m_timers.run(Duration { 100 });
+        m_worker.polls.back().done({ WorkerState::Status::OtherIncarnation, 0, 0, {}, {} });
+        m_timers.run(Duration { 60 });
+        m_worker.polls.back().done({ WorkerState::Status::Ok, life + 1, 300, {}, {} });
+        EXPECT_TRUE(lastReport().leaseInherited);
+        m_timers.run(Duration { 460 });
+        m_worker.polls.back().done({ WorkerState::Status::Ok, life + 1, 1400, {}, {} });
+        EXPECT_FALSE(lastReport().leaseInherited);
+    }
+
     // Guards against work that waits for the next poll while orders already show that the worker has restarted.
     TEST_F(HostAgentTest, start_refusedByNewIncarnation_pollsItAtOnce)
     {
