--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -10,6 +10,7 @@
 #include "dispatch/ServiceLevelMonitor.h"
 #include "dispatch/WaitingStepLog.h"
 
+#include <limits>
 #include <set>
 
 namespace hemlocklead::dispatch {
@@ -149,7 +150,8 @@
     PlacementContext placementContext() const;
     void moveIfPaused(HostState& host, HostRun& run, Job& job, const RunReport& row);
     void markRunLost(HostState& host, const std::string& task, std::string_view reason);
-    void markRunsLost(HostState& host, std::string_view reason);
+    void markRunsLost(
+        HostState& host, std::string_view reason, uint64_t settledOrders = std::numeric_limits<uint64_t>::max());
     void evacuateDrainingHost(HostState& host);
     void learnInterference(HostState& host, const HostReport& report);
     void sendInterference(HostState& host);
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -15,6 +15,12 @@
         return found == rows.end() ? nullptr : &*found;
     }
 
+    /// Whether the order to start the run is later than those that the agent had settled when it sent its report.
+    bool isUnderWay(const HostRun& run, uint64_t settledOrders)
+    {
+        return run.stage == HostRun::Stage::Ordered && run.sequence > settledOrders;
+    }
+
     /// A run is left to finish on a draining host if it is expected to end at least this long before the host leaves.
     constexpr int64_t drainMarginMs = 500;
 
@@ -68,7 +74,7 @@
     for (const RunRefusal& refusal : report.refusals)
         applyRefusal(host, refusal);
     if (report.lapsed && host.showsAbsence())
-        markRunsLost(host, "worker_lapsed");
+        markRunsLost(host, "worker_lapsed", report.settledOrders);
     else if (report.full && !report.silent)
         reconcile(host, report);
     learnInterference(host, report);
@@ -309,8 +315,7 @@
         return;
     std::vector<std::string> lost;
     for (const auto& [name, run] : host.runs) {
-        const bool underWay = run.stage == HostRun::Stage::Ordered && run.sequence > report.settledOrders;
-        if (!run.isOrdered() || underWay || findReport(report.running, name, run.attempt)
+        if (!run.isOrdered() || isUnderWay(run, report.settledOrders) || findReport(report.running, name, run.attempt)
             || findReport(report.pending, name, run.attempt))
             continue;
         lost.push_back(name);
@@ -424,11 +429,11 @@
     markDirty(*job);
 }
 
-void Dispatcher::markRunsLost(HostState& host, std::string_view reason)
+void Dispatcher::markRunsLost(HostState& host, std::string_view reason, uint64_t settledOrders)
 {
     std::vector<std::string> lost;
     for (const auto& [name, run] : host.runs) {
-        if (run.isOrdered())
+        if (run.isOrdered() && !isUnderWay(run, settledOrders))
             lost.push_back(name);
     }
     for (const std::string& name : lost)
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -633,6 +633,30 @@
         EXPECT_EQ(entry.sender.starts.size(), 2u);
     }
 
+    // Guards against a second run of a task whose order crosses the agent's report that all former leases have lapsed
+    // (days recut with late orders: two runs at once after a cut).
+    TEST_F(DispatcherTest, workerLapsed_orderIsUnderWay_runIsNotLost)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        becomeOwner(entry);
+        connect(entry, "host-1");
+        submit("job", { step(1, 1000) });
+        run(entry, Duration { 150 });
+        ASSERT_EQ(entry.sender.starts.size(), 1u);
+        HostReport report = reportOf("host-1");
+        report.full = false;
+        report.silent = true;
+        report.lapsed = true;
+        entry.dispatcher.hostReported("host-1", report);
+        connect(entry, "host-2");
+        run(entry, Duration { 300 });
+        EXPECT_EQ(entry.sender.starts.size(), 1u);
+        report.settledOrders = 1;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 300 });
+        EXPECT_EQ(entry.sender.starts.size(), 2u);
+    }
+
     // Guards against runs that stay assigned for good to a worker that was lost before its agent restarted: the agent
     // is connected but never learns the worker's incarnation (review, case 1: lasting tasks never ran again). The
     // leases count from the last reading of the worker's clock, however often the owner has repeated it.
