Restart workers under their ids in the soak

Change: from seed 9000 on, workers also restart under the same id and address within 10 to 60 ms, report for the first time within 500 ms, carry out the late orders to their former incarnation, and are cut off from the owners and the store within 1.2 s; some agents are killed meanwhile. Seeds below 9000 are as before.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -34,6 +34,9 @@
     /// long-running jobs, and faults separate one entry from one agent or come in series.
     constexpr uint64_t firstSeedAtSiteScale = 8000;
 
+    /// From this seed on, workers also restart under the id that they had, within tens of milliseconds.
+    constexpr uint64_t firstSeedWithRestartsInPlace = 9000;
+
     /// For how long the store turns away the owner in a series; others replace the owner after about 3 s.
     constexpr Duration ownerRefusalTime { 7000 };
     constexpr size_t signalsInSeries = 8;
@@ -82,6 +85,10 @@
             firstSeedAtSiteScale },
         { "separate_new_owner", &Soak::separateNewOwner, &Soak::noAction, &Soak::singleTarget, firstSeedAtSiteScale },
         { "signal_series", &Soak::signalSeries, &Soak::noAction, &Soak::singleTarget, firstSeedAtSiteScale },
+        { "worker_restarts_in_place", &Soak::workerRestartsInPlace, &Soak::noAction, &Soak::workerCount,
+            firstSeedWithRestartsInPlace },
+        { "restart_and_cut_workers", &Soak::restartAndCutWorkers, &Soak::noAction, &Soak::singleTarget,
+            firstSeedWithRestartsInPlace },
     };
     return faultKinds;
 }
@@ -273,6 +280,27 @@
     }
 }
 
+void Soak::restartAndCutWorkers(size_t)
+{
+    // Orders that a worker leaves unanswered are carried out by its next incarnation, which is cut off from the owners
+    // and the store soon after its start.
+    const size_t first = random(m_settings.agents);
+    const size_t count = 1 + random(3);
+    for (size_t i = 0; i < count; ++i) {
+        const size_t worker = (first + i) % m_settings.agents;
+        if (random(2) == 0)
+            scheduleFault("worker_late", worker, Duration { 0 }, randomDuration(500, 1500));
+        const Duration restartDelay = randomDuration(500, 1500);
+        scheduleFault("worker_restarts_in_place", worker, restartDelay, Duration { 0 });
+        const Duration cutDelay = restartDelay + randomDuration(0, 1200);
+        const Duration cutTime = randomDuration(2000, 9000);
+        scheduleFault("owners_silent", worker, cutDelay, cutTime);
+        scheduleFault("link_silent", m_settings.entries + worker, cutDelay, cutTime);
+        if (random(3) == 0)
+            scheduleFault("kill", m_settings.entries + worker, cutDelay + randomDuration(0, 500), Duration { 0 });
+    }
+}
+
 void Soak::signalSeries(size_t)
 {
     static constexpr std::array<std::string_view, 5> signals { "pause", "pause", "kill", "terminate", "reload" };
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -165,6 +165,11 @@
     void workerLate(size_t worker) { m_workers[worker]->setFault(WorkerStandIn::Fault::Late); }
     void workerRecovers(size_t worker) { m_workers[worker]->setFault(WorkerStandIn::Fault::None); }
     void workerRestarts(size_t worker) { m_workers[worker]->restart(); }
+    void workerRestartsInPlace(size_t worker)
+    {
+        m_workers[worker]->restartInPlace(randomDuration(10, 60), randomDuration(0, 500));
+    }
+    void restartAndCutWorkers(size_t);
     void pause(size_t program) { m_runner.signal(m_programs[program].pid, SIGSTOP); }
     void resume(size_t program) { m_runner.signal(m_programs[program].pid, SIGCONT); }
     void kill(size_t program) { end(program, SIGKILL); }
--- a/tests/soak/WorkerStandIn.cpp
+++ b/tests/soak/WorkerStandIn.cpp
@@ -39,15 +39,23 @@
     , m_invariants(invariants)
     , m_name(std::move(name))
     , m_cpuMilli(cpuMilli)
-    , m_server(loop, [this](const HttpRequest& request, const Responder& responder) { handle(request, responder); })
     , m_timer(loop)
     , m_statusTimer(loop)
+    , m_restartTimer(loop)
 {
     restart();
     m_timer.startRepeating(tickInterval, [this] { tick(); });
     m_statusTimer.startRepeating(statusInterval, [this] { reportStatus(); });
 }
 
+Result<void> WorkerStandIn::listen(const Address& address)
+{
+    m_address = address;
+    m_server = std::make_unique<HttpServer>(
+        m_loop, [this](const HttpRequest& request, const Responder& responder) { handle(request, responder); });
+    return m_server->listen(address);
+}
+
 void WorkerStandIn::setControl(const Address& address) { m_control = std::make_unique<HttpClient>(m_loop, address, 1); }
 
 void WorkerStandIn::setFault(Fault fault)
@@ -59,6 +67,30 @@
 }
 
 void WorkerStandIn::restart()
+{
+    ++m_idNumber;
+    beginIncarnation();
+}
+
+void WorkerStandIn::restartInPlace(Duration down, Duration firstStatus)
+{
+    for (const Responder& responder : m_unanswered)
+        responder->abort();
+    m_unanswered.clear();
+    beginIncarnation();
+    m_server.reset();
+    m_restartTimer.startOnce(down, [this, firstStatus] {
+        beginIncarnation();
+        orElse([this]() -> Result<void> { return listen(m_address); },
+            [this](const Error& error) { m_invariants.violation(m_name + " cannot listen again: " + error.message); });
+        m_statusTimer.startOnce(firstStatus, [this] {
+            reportStatus();
+            m_statusTimer.startRepeating(statusInterval, [this] { reportStatus(); });
+        });
+    });
+}
+
+void WorkerStandIn::beginIncarnation()
 {
     for (const auto& [task, run] : m_running)
         m_invariants.runEnded(task, m_name, false);
@@ -68,7 +100,6 @@
     for (const WaitingPoll& poll : m_polls)
         poll.responder->abort();
     m_polls.clear();
-    ++m_incarnation;
     m_bornUnixMs = std::max(unixMs(), m_bornUnixMs + 1);
     m_bornAt = m_clock.now();
     m_highestFence = 0;
@@ -82,13 +113,13 @@
     if (m_fault == Fault::Unresponsive)
         return m_unanswered.push_back(responder);
     const std::string_view expected = request.header("Hemlocklead-Expected-Instance");
-    if (!expected.empty() && expected != m_name + "-" + std::to_string(m_incarnation))
+    if (!expected.empty() && expected != m_name + "-" + std::to_string(m_idNumber))
         return responder->reply(jsonResponse(421, "{}"));
     const Json body = Json::parse(request.body, nullptr, false);
     if (request.path.starts_with("/v1/hold"))
         return poll(body, responder);
     if (m_fault == Fault::Late) {
-        m_delayedOrders.emplace(m_clock.now() + lateDelay, std::pair(m_incarnation, request));
+        m_delayedOrders.emplace(m_clock.now() + lateDelay, std::pair(m_idNumber, request));
         return m_unanswered.push_back(responder);
     }
     if (request.path.starts_with("/v1/run-start"))
@@ -202,13 +233,15 @@
 
 void WorkerStandIn::tick()
 {
+    if (!m_server)
+        return;
     const Instant now = m_clock.now();
     while (!m_delayedOrders.empty() && m_delayedOrders.begin()->first <= now) {
-        const auto [incarnation, request] = m_delayedOrders.extract(m_delayedOrders.begin()).mapped();
+        const auto [idNumber, request] = m_delayedOrders.extract(m_delayedOrders.begin()).mapped();
         const Json body = Json::parse(request.body, nullptr, false);
-        if (incarnation == m_incarnation && request.path.starts_with("/v1/run-start"))
+        if (idNumber == m_idNumber && request.path.starts_with("/v1/run-start"))
             start(body);
-        else if (incarnation == m_incarnation && request.path.starts_with("/v1/run-stop"))
+        else if (idNumber == m_idNumber && request.path.starts_with("/v1/run-stop"))
             stop(body);
     }
     std::vector<std::pair<std::string, std::string>> ends;
@@ -234,11 +267,11 @@
 
 void WorkerStandIn::reportStatus()
 {
-    if (!m_control || m_fault == Fault::Unresponsive)
+    if (!m_server || !m_control || m_fault == Fault::Unresponsive)
         return;
     HttpRequest request;
     request.method = "PUT";
-    request.path = "/v1/instances/" + m_name + "-" + std::to_string(m_incarnation);
+    request.path = "/v1/instances/" + m_name + "-" + std::to_string(m_idNumber);
     request.body = jsonText({ { "service", "service" }, { "address", "127.0.0.1:1" }, { "zone", "zone" },
         { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 }, { "born", m_bornUnixMs },
         { "capacity", { { "cpu", m_cpuMilli }, { "memMb", 64000 }, { "gpu", 0 } } }, { "labels", { "a", "r1" } },
--- a/tests/soak/WorkerStandIn.h
+++ b/tests/soak/WorkerStandIn.h
@@ -21,7 +21,7 @@
 
     WorkerStandIn(EventLoop& loop, InvariantChecker& invariants, std::string name, int64_t cpuMilli);
 
-    Result<void> listen(const Address& address) { return m_server.listen(address); }
+    Result<void> listen(const Address& address);
 
     /// Sets the address of the agent that status reports go to.
     void setControl(const Address& address);
@@ -31,6 +31,11 @@
     /// Drops all runs and starts a new incarnation with a new id.
     void restart();
 
+    /// As a process that crashes and starts again under the same id and address after `down`: its connections are
+    /// closed, and late orders to the former incarnation are carried out by the next one. It reports its status for the
+    /// first time `firstStatus` after its start.
+    void restartInPlace(Duration down, Duration firstStatus);
+
 private:
     using Responder = std::shared_ptr<HttpResponder>;
 
@@ -53,6 +58,7 @@
         Responder responder;
     };
 
+    void beginIncarnation();
     void handle(const HttpRequest& request, const Responder& responder);
     HttpResponse start(const Json& body);
     HttpResponse stop(const Json& body);
@@ -71,16 +77,18 @@
     InvariantChecker& m_invariants;
     std::string m_name;
     int64_t m_cpuMilli;
-    HttpServer m_server;
+    Address m_address;
+    std::unique_ptr<HttpServer> m_server; ///< Null while the process is down.
     std::unique_ptr<HttpClient> m_control;
     Timer m_timer;
     Timer m_statusTimer;
+    Timer m_restartTimer;
     Fault m_fault { Fault::None };
     std::vector<Responder> m_unanswered;
-    /// Orders to carry out, by due time, with the incarnation that received them.
+    /// Orders to carry out, by due time, with the number in the id of the incarnation that received them.
     std::multimap<Instant, std::pair<int, HttpRequest>> m_delayedOrders;
 
-    int m_incarnation { 0 };
+    int m_idNumber { 0 };
     int64_t m_bornUnixMs { 0 };
     Instant m_bornAt {};
     uint64_t m_highestFence { 0 };
