Poll the worker at once when another owner is accepted

Change: the poll under way is abandoned, and the next one does not wait for ends until the worker has accepted the epoch.

HostAgentTest.newOwner_pollIsUnderWay_* fails without the change.

Conclusion: the fence costs one local round trip at a change of owner.

--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -154,7 +154,8 @@
     // What the former owner has granted must not reach the worker under the fence of this one.
     m_view.leaseUntilMs = 0;
     m_fence = m_fence == 0 ? 0 : std::max(m_fence, epoch * fencesPerEpoch);
-    schedulePoll(Duration { 0 });
+    // The owner declares no run lost before the worker has listed its runs under the new fence.
+    pollAnew();
 }
 
 uint64_t HostAgent::firstFence() const
@@ -358,7 +359,8 @@
         poll.acknowledgedEnds = m_view.acknowledgedEnds;
     // The worker answers a poll at once while it has unacknowledged ends.
     const Duration maxWait = m_throttle.isPausing() ? m_settings.pollWaitWhilePausing : m_settings.pollWait;
-    poll.wait = m_view.hasReadRuns && m_view.ends.empty() ? maxWait : Duration { 0 };
+    const bool isListCurrent = m_view.hasReadRuns && (m_view.epochFenced || m_epochSeen == 0);
+    poll.wait = isListCurrent && m_view.ends.empty() ? maxWait : Duration { 0 };
     const SentPoll sent { ++m_pollsSent, m_clock.now(), m_connection, settledOrders(), m_fence == 0 ? 0 : m_epochSeen,
         poll.acknowledgedEnds };
     m_worker.poll(incarnation(), poll, [this, sent](WorkerState state) { handlePollAnswer(std::move(state), sent); });
@@ -480,7 +482,12 @@
 void HostAgent::abandonIncarnation()
 {
     beginIncarnation(0);
-    // An answer to the poll that is under way would be of the former incarnation.
+    pollAnew();
+}
+
+void HostAgent::pollAnew()
+{
+    // The answer to a poll that is under way is not used any more.
     m_isPolling = false;
     ++m_pollsSent;
     schedulePoll(Duration { 0 });
--- a/src/dispatch/HostAgent.h
+++ b/src/dispatch/HostAgent.h
@@ -167,6 +167,7 @@
     void applyState(WorkerState& state, const SentPoll& sent);
     void beginIncarnation(int64_t life);
     void abandonIncarnation();
+    void pollAnew();
     WorkerIncarnation incarnation() const { return { m_view.life, m_fence }; }
     void acceptEpoch(uint64_t epoch);
     uint64_t firstFence() const;
--- a/tests/unit/HostAgentTest.cpp
+++ b/tests/unit/HostAgentTest.cpp
@@ -376,6 +376,28 @@
         EXPECT_FALSE(lastReport().leaseInherited);
     }
 
+    // Guards against lost runs that wait for half a second after a change of owner, until a poll under the former
+    // epoch's fence is answered (ogbeni-hl-grown, trouble-2: worth .70 to .63).
+    TEST_F(HostAgentTest, newOwner_pollIsUnderWay_workerIsPolledAtOnce)
+    {
+        m_timers.run(Duration { 100 });
+        answerPoll({});
+        m_timers.run(Duration { 100 });
+        ASSERT_EQ(m_worker.polls.size(), 1u);
+        ASSERT_GT(m_worker.polls[0].poll.wait, Duration { 0 });
+        const auto former = m_worker.polls[0];
+        connect(9);
+        m_timers.run(Duration { 1 });
+        ASSERT_EQ(m_worker.polls.size(), 2u);
+        EXPECT_EQ(m_worker.polls[1].poll.wait, Duration { 0 });
+        EXPECT_GT(m_worker.polls[1].incarnation.fence, former.incarnation.fence);
+        answerPoll({});
+        EXPECT_TRUE(lastReport().epochFenced);
+        const size_t reports = m_sender.reports.size();
+        former.done({ WorkerState::Status::Ok, life, workerClock(), { { { "job.0.0.1", 1, "", 50 }, 0 } }, {} });
+        EXPECT_EQ(m_sender.reports.size(), reports);
+    }
+
     // Guards against work that waits for the next poll while orders already show that the worker has restarted.
     TEST_F(HostAgentTest, start_refusedByNewIncarnation_pollsItAtOnce)
     {
