Share the search over orders of events, and name what is tested twice

Cause: WorkerRestartScheduleTest had its own copies of the events, the description and the search of TakeoverScheduleTest; a condition of hostReported() and a loop of the soak's worker stood twice; a comment in startRun() described calls that reach another incarnation, which they no longer do.

Change: tests/unit/EventOrders.h serves both tests; hasSeenFence, abortUnanswered(); the comment. No behaviour, bound or assertion is changed.

Conclusion: one search for further schedules.

--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -45,11 +45,11 @@
     const bool isNewReading
         = host.clockReadAt == Instant {} || report.life != host.last.life || report.clockMs != host.last.clockMs;
     // Until a worker refuses former owners and late calls to its former incarnations, either may still start runs.
-    const bool isFinal
-        = report.full && (!report.fencesEpochs || (report.epochFenced && report.epochSeen == m_writer.epoch()));
+    const bool hasSeenFence = report.epochFenced && report.epochSeen == m_writer.epoch();
+    const bool isFinal = report.full && (!report.fencesEpochs || hasSeenFence);
     if (isFinal && report.life != 0 && report.life != host.life)
         workerLifeChanged(host, report);
-    if (report.epochFenced && report.epochSeen == m_writer.epoch() && report.life != host.fencedLife) {
+    if (hasSeenFence && report.life != host.fencedLife) {
         host.fencedLife = report.life;
         if (report.leaseInherited)
             host.inheritedLeaseEnd = m_clock.now() + m_settings.maxLease + m_settings.leaseMargin;
--- a/src/dispatch/HostAgent.cpp
+++ b/src/dispatch/HostAgent.cpp
@@ -216,8 +216,7 @@
 void HostAgent::startRun(const RunOrder& order, bool isLate)
 {
     const int64_t leaseLeft = m_view.leaseUntilMs - workerClockMs();
-    // The order is meant for the incarnation that answered the last poll, but calls reach the incarnation that was
-    // announced last.
+    // Whether an incarnation drains is not known before it has announced itself.
     if (m_announcement.life != m_view.life)
         return refuseStart(order, restartedReason);
     if (m_announcement.draining)
--- a/tests/soak/WorkerStandIn.cpp
+++ b/tests/soak/WorkerStandIn.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <optional>
+#include <utility>
 
 namespace hemlocklead::soak {
 
@@ -61,9 +62,13 @@
 void WorkerStandIn::setFault(Fault fault)
 {
     m_fault = fault;
-    for (const Responder& responder : m_unanswered)
+    abortUnanswered();
+}
+
+void WorkerStandIn::abortUnanswered()
+{
+    for (const Responder& responder : std::exchange(m_unanswered, {}))
         responder->abort();
-    m_unanswered.clear();
 }
 
 void WorkerStandIn::restart()
@@ -74,9 +79,7 @@
 
 void WorkerStandIn::restartInPlace(Duration down, Duration firstStatus)
 {
-    for (const Responder& responder : m_unanswered)
-        responder->abort();
-    m_unanswered.clear();
+    abortUnanswered();
     beginIncarnation();
     m_server.reset();
     m_restartTimer.startOnce(down, [this, firstStatus] {
--- a/tests/soak/WorkerStandIn.h
+++ b/tests/soak/WorkerStandIn.h
@@ -58,6 +58,7 @@
         Responder responder;
     };
 
+    void abortUnanswered();
     void beginIncarnation();
     void handle(const HttpRequest& request, const Responder& responder);
     HttpResponse start(const Json& body);
--- a/tests/unit/TakeoverScheduleTest.cpp
+++ b/tests/unit/TakeoverScheduleTest.cpp
@@ -1,4 +1,4 @@
-#include "TakeoverSimulation.h"
+#include "EventOrders.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -46,11 +46,6 @@
         return simulation.runUntil(Duration { 60'000 }, [&] { return simulation.hasEnded(jobs); });
     }
 
-    struct Event {
-        const char* name;
-        void (*apply)(TakeoverSimulation&);
-    };
-
     void cutFormerFromStore(TakeoverSimulation& simulation) { simulation.setStoreAccess(former, StoreAccess::Refused); }
 
     void claimBySuccessor(TakeoverSimulation& simulation)
@@ -86,7 +81,7 @@
         simulation.setLink(successor, host, true, true);
     }
 
-    constexpr Event events[] {
+    constexpr SimulationEvent events[] {
         { "former_cut_from_store", cutFormerFromStore },
         { "successor_claims", claimBySuccessor },
         { "agent_reports_to_successor", reportToSuccessor },
@@ -98,18 +93,8 @@
 
     constexpr size_t laterJobEvent = 2; ///< Index of `agent_reports_to_successor`.
 
-    using Order = std::vector<size_t>;
-
-    std::string describe(const Order& order)
-    {
-        std::string text;
-        for (const size_t event : order)
-            text += (text.empty() ? "" : " ") + std::string(events[event].name);
-        return text;
-    }
-
     /// Plays the events in that order. Returns the broken rules.
-    std::vector<std::string> play(const Order& order, Duration spacing, std::string& trace)
+    std::vector<std::string> play(const EventOrder& order, Duration spacing, std::string& trace)
     {
         TakeoverSimulation simulation(1, 0.98);
         simulation.setLink(successor, host, false, false);
@@ -131,13 +116,6 @@
         return violations;
     }
 
-    /// Number from the environment, to search more than a CI run does.
-    uint64_t searchSize(const char* variable, uint64_t inCi)
-    {
-        const char* text = std::getenv(variable);
-        return text ? std::strtoull(text, nullptr, 10) : inCi;
-    }
-
     /// The longest orders that a CI run plays. HEMLOCKLEAD_TAKEOVER_EVENTS=7 plays all 13,699 orders at each spacing.
     constexpr uint64_t maxEventsInCi = 5;
 
@@ -149,35 +127,26 @@
         {
         }
 
-        void playAll(const Order& begin)
+        void playAll(const EventOrder& begin)
         {
-            playOne(begin);
-            if (begin.size() == m_maxEvents)
-                return;
-            for (size_t event = 0; event < std::size(events); ++event) {
-                if (std::ranges::find(begin, event) != begin.end())
-                    continue;
-                Order longer = begin;
-                longer.push_back(event);
-                playAll(longer);
-            }
+            forEachOrder(begin, std::size(events), m_maxEvents, [this](const EventOrder& order) { playOne(order); });
         }
 
         size_t played() const { return m_played; }
         size_t failed() const { return m_failed; }
 
     private:
-        void playOne(const Order& order)
+        void playOne(const EventOrder& order)
         {
             std::string trace;
             const std::vector<std::string> violations = play(order, m_spacing, trace);
             ++m_played;
             if (violations.empty())
                 return;
-            std::printf("failed: %s: %s\n", describe(order).c_str(), violations.front().c_str());
+            std::printf("failed: %s: %s\n", describe(events, order).c_str(), violations.front().c_str());
             constexpr size_t maxTraces = 2;
             if (++m_failed <= maxTraces)
-                ADD_FAILURE() << describe(order) << "\n" << testing::PrintToString(violations) << "\n" << trace;
+                ADD_FAILURE() << describe(events, order) << "\n" << testing::PrintToString(violations) << "\n" << trace;
         }
 
         Duration m_spacing;
--- a/tests/unit/TakeoverSimulation.h
+++ b/tests/unit/TakeoverSimulation.h
@@ -64,6 +64,7 @@
     void endAgent(size_t host);
     void startAgent(size_t host);
     bool hasAgent(size_t host) const { return m_hosts[host].agent != nullptr; }
+
     /// The new incarnation announces itself for the first time after `firstAnnouncement`.
     void restartWorker(size_t host, Duration firstAnnouncement = Duration { 0 });
 
--- a/tests/unit/WorkerRestartScheduleTest.cpp
+++ b/tests/unit/WorkerRestartScheduleTest.cpp
@@ -1,4 +1,4 @@
-#include "TakeoverSimulation.h"
+#include "EventOrders.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -15,11 +15,6 @@
 
     const std::vector<std::string> jobs { "short", "long", "lasting", "later" };
 
-    struct Event {
-        const char* name;
-        void (*apply)(TakeoverSimulation&);
-    };
-
     /// Half of the calls are carried out late, also by an incarnation that starts meanwhile.
     void makeCallsLate(TakeoverSimulation& simulation) { simulation.setLateCalls(2, Duration { 12'000 }); }
 
@@ -36,7 +31,7 @@
 
     void healCalls(TakeoverSimulation& simulation) { simulation.setLateCalls(0, Duration { 0 }); }
 
-    constexpr Event events[] {
+    constexpr SimulationEvent events[] {
         { "calls_are_late", makeCallsLate },
         { "worker_restarts", restartWorker },
         { "host_is_cut_off", cutHost },
@@ -45,18 +40,8 @@
         { "calls_are_in_time", healCalls },
     };
 
-    using Order = std::vector<size_t>;
-
-    std::string describe(const Order& order)
-    {
-        std::string text;
-        for (const size_t event : order)
-            text += (text.empty() ? "" : " ") + std::string(events[event].name);
-        return text;
-    }
-
     /// Plays the events in that order. Returns the broken rules.
-    std::vector<std::string> play(const Order& order, Duration spacing, uint64_t seed, std::string& trace)
+    std::vector<std::string> play(const EventOrder& order, Duration spacing, uint64_t seed, std::string& trace)
     {
         TakeoverSimulation simulation(seed, 0.98);
         simulation.allowClaims(owner);
@@ -83,41 +68,30 @@
         return violations;
     }
 
-    uint64_t seedsPerOrder()
-    {
-        const char* text = std::getenv("HEMLOCKLEAD_RESTART_SEEDS");
-        return text ? std::strtoull(text, nullptr, 10) : 1;
-    }
-
     class WorkerRestartOrderTest : public testing::TestWithParam<std::tuple<size_t, int>> {
     protected:
         /// Plays all orders of up to four events that begin with `begin`.
-        void playAll(const Order& begin, Duration spacing)
+        void playAll(const EventOrder& begin, Duration spacing)
         {
-            for (uint64_t seed = 1; seed <= seedsPerOrder(); ++seed)
-                playOne(begin, spacing, seed);
             constexpr size_t maxEvents = 4;
-            if (begin.size() == maxEvents)
-                return;
-            for (size_t event = 0; event < std::size(events); ++event) {
-                if (std::ranges::find(begin, event) != begin.end())
-                    continue;
-                Order longer = begin;
-                longer.push_back(event);
-                playAll(longer, spacing);
-            }
+            const uint64_t seeds = searchSize("HEMLOCKLEAD_RESTART_SEEDS", 1);
+            forEachOrder(begin, std::size(events), maxEvents, [&](const EventOrder& order) {
+                for (uint64_t seed = 1; seed <= seeds; ++seed)
+                    playOne(order, spacing, seed);
+            });
         }
 
-        void playOne(const Order& order, Duration spacing, uint64_t seed)
+        void playOne(const EventOrder& order, Duration spacing, uint64_t seed)
         {
             std::string trace;
             const std::vector<std::string> violations = play(order, spacing, seed, trace);
             ++m_played;
             if (violations.empty())
                 return;
-            std::printf("failed: seed %lu: %s: %s\n", seed, describe(order).c_str(), violations.front().c_str());
+            std::printf(
+                "failed: seed %lu: %s: %s\n", seed, describe(events, order).c_str(), violations.front().c_str());
             if (++m_failed == 1)
-                ADD_FAILURE() << describe(order) << "\n" << testing::PrintToString(violations) << "\n" << trace;
+                ADD_FAILURE() << describe(events, order) << "\n" << testing::PrintToString(violations) << "\n" << trace;
         }
 
         size_t m_played { 0 };
