--- a/scripts/service-by-size.sh
+++ b/scripts/service-by-size.sh
@@ -5,7 +5,8 @@
 # usage: service-by-size.sh [--jobs] [FILE...]
 #   --jobs  also one line a job, largest first
 #
-# Shares are of the time of all tasks; `attained` counts an interfered task four times, as its users do.
+# Shares are of the time of all tasks; `attained` counts an interfered task four times, as its users do, and is at least
+# zero in each line (about 5 s) by itself: a job that loses all of one line keeps what it got in the others.
 set -euo pipefail
 jobs=0
 if [ "${1:-}" = --jobs ]; then
@@ -28,29 +29,30 @@
         slowed[job, image] += value("interfered_ms")
         if (slowed[job, image] >= slowed[job, antagonist[job]]) antagonist[job] = image
     }
-    for (s = 1; s <= states; ++s) sum[job, s] += value(state[s] "_ms")
+    lineTotal = 0
+    for (s = 1; s <= states; ++s) {
+        part_of_line[s] = value(state[s] "_ms")
+        sum[job, s] += part_of_line[s]
+        lineTotal += part_of_line[s]
+    }
+    left = lineTotal - part_of_line[1] - part_of_line[2] - part_of_line[3] - 4 * part_of_line[4]
+    if (left > 0) attained[job] += left
 }
 function total(job,    s, t) {
     for (s = 1; s <= states; ++s) t += sum[job, s]
     return t
 }
-function attained(waiting, starting, over, interfered,    left) {
-    left = 1 - waiting - starting - over - 4 * interfered
-    return left > 0 ? left : 0
-}
-function print_row(label, from, to,    i, s, t, all, part) {
+function print_row(label, from, to,    i, s, t, all, part, kept) {
     for (i = from; i <= to; ++i) {
         t = total(order[i])
         all += t
         for (s = 1; s <= states; ++s) part[s] += sum[order[i], s]
-        for (s = 1; s <= 4; ++s) share[s] = t > 0 ? sum[order[i], s] / t : 0
-        kept += t * attained(share[1], share[2], share[3], share[4])
+        kept += attained[order[i]]
     }
     if (all == 0) return
     printf "%-14s %4d", label, to - from + 1
     for (s = 1; s <= states; ++s) printf " %11.3f", part[s] / all
     printf " %8.3f\n", kept / all
-    kept = 0
 }
 END {
     count = 0
@@ -77,6 +79,6 @@
         t = total(job)
         printf "%-18s %5d %10d %9.1f", job, tasks[job], size[job], t / 1000 / tasks[job]
         for (s = 1; s <= states; ++s) printf " %11.3f", sum[job, s] / t
-        printf " %8.3f %s\n", attained(sum[job, 1] / t, sum[job, 2] / t, sum[job, 3] / t, sum[job, 4] / t), antagonist[job]
+        printf " %8.3f %s\n", attained[job] / t, antagonist[job]
     }
 }'
