--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -129,6 +129,7 @@
     m_serviceLevels.reset();
     m_interference.removeServices();
     m_waitingSteps.clear();
+    m_roomTransfers.clear();
 }
 
 void Dispatcher::registryReset() { deactivate(); }
@@ -204,6 +205,7 @@
         return;
     expireLeases();
     placeJobs();
+    shareRoom();
     commit();
     sendOrders();
     sampleServiceLevels();
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -7,11 +7,13 @@
 #include "dispatch/JobPlan.h"
 #include "dispatch/JobRegistry.h"
 #include "dispatch/JournalWriter.h"
+#include "dispatch/RoomSharing.h"
 #include "dispatch/ServiceLevelMonitor.h"
 #include "dispatch/WaitingStepLog.h"
 
 #include <limits>
 #include <set>
+#include <span>
 
 namespace hemlocklead::dispatch {
 
@@ -69,6 +71,10 @@
         Duration maxLateWait { 1500 };
         Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
                                        ///< long-running task. Most short tasks end within it.
+        /// A long-running step with a task that has found no host for this long gets room from steps of which a larger
+        /// share is placed.
+        Duration minWaitForRoom { 2000 };
+        uint32_t maxStopsForRoom { 4 }; ///< Most runs that are being stopped at once to make room for one step.
         Duration moveTime { 1500 }; ///< Time that stopping a run and resuming it elsewhere takes. A best-effort run
                                     ///< with checkpoints that has been paused for as long is moved.
         uint32_t maxMoves { 6 }; ///< A task that has been moved as often stays on its host until it resumes.
@@ -123,6 +129,22 @@
         uint32_t attempt;
     };
 
+    /// The placement of the tasks of one step in one scheduling cycle.
+    struct StepPlacement {
+        Job* job { nullptr };
+        uint32_t occurrence { 0 };
+        uint32_t step { 0 };
+        PlacementConstraints constraints;
+        BestEffortLimits limits;
+        uint32_t nextIndex { 0 }; ///< Tasks before this one are placed or not due.
+        std::string placed; ///< Placed tasks with their hosts, as logged.
+        double newlyOver { 0 }; ///< See newlyOverTarget().
+        bool foundNoHost { false };
+
+        const StepSpec& spec() const { return job->spec().steps[step]; }
+        StepState& state() const { return job->occurrence(occurrence).steps[step]; }
+    };
+
     /// What takes effect once a commit is durable.
     struct Commit {
         std::vector<std::pair<std::string, JobPhase>> jobs;
@@ -169,12 +191,24 @@
     bool hasWorkingRun(const StepState& state, const TaskId& firstTask) const;
     BestEffortLimits bestEffortLimits(Job& job, uint32_t occurrence, uint32_t step, Instant now);
     void placeJob(Job& job, const PlacementContext& context);
-    void placeStep(Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context);
+    void placeLongRunningSteps(std::span<Job* const> jobs, const PlacementContext& context);
+    StepPlacement beginPlacement(Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context);
+    bool placeNextTask(StepPlacement& placement, const PlacementContext& context);
+    void finishPlacement(const StepPlacement& placement, const PlacementContext& context);
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
     void openDueOccurrences(Job& job);
     PlacementConstraints constraintsOf(const Job& job, const StepState& state, const StepSpec& spec);
     void holdHosts(StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
         const PlacementContext& context);
+
+    // Division of scarce room among long-running steps.
+    void shareRoom();
+    std::vector<SharingStep> sharingSteps() const;
+    SharingStep sharingStep(const Job& job, uint32_t occurrence, uint32_t step) const;
+    bool isInTouch(const HostState& host) const;
+    /// Whether a host that is out of touch for the moment may have room for a task of the step.
+    bool mayFindRoomSoon(const StepSpec& step) const;
+    void makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context);
     void startTask(Job& job, const TaskId& id, TaskState& task, const HostState& host);
     void commit();
     void onCommitDurable(const Commit& commit);
@@ -203,6 +237,8 @@
     StartEjector m_ejector;
     ServiceLevelMonitor m_serviceLevels;
     WaitingStepLog m_waitingSteps;
+    /// The runs that are being stopped to make room, by TaskId::text().
+    std::map<std::string, RoomTransfer> m_roomTransfers;
     std::set<std::string> m_closedDataCentres;
     bool m_knowsClosedDataCentres { false };
     std::map<std::string, QueuePolicy> m_policies;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -10,6 +10,17 @@
 
     constexpr double unlimited = 1e9;
 
+    /// Free processors of all usable hosts, thousandths of a core.
+    int64_t freeProcessors(const PlacementContext& context)
+    {
+        int64_t free = 0;
+        for (const auto& [name, host] : context.hosts) {
+            if (isUsable(host, context))
+                free += std::max<int64_t>(host.free().cpuMilli, 0);
+        }
+        return free;
+    }
+
 } // namespace
 
 void Dispatcher::placeJobs()
@@ -32,8 +43,49 @@
         refreshForecasts(host);
     }
     const PlacementContext context = placementContext();
+    std::vector<Job*> ordered;
     for (const auto& [key, job] : jobs)
-        placeJob(*job, context);
+        ordered.push_back(job);
+    for (auto first = ordered.begin(); first != ordered.end();) {
+        const auto next = std::find_if(first, ordered.end(),
+            [&](const Job* job) { return job->policy().priority != (*first)->policy().priority; });
+        placeLongRunningSteps({ first, next }, context);
+        std::for_each(first, next, [&](Job* job) { placeJob(*job, context); });
+        first = next;
+    }
+}
+
+void Dispatcher::placeLongRunningSteps(std::span<Job* const> jobs, const PlacementContext& context)
+{
+    std::vector<StepPlacement> waiting;
+    for (Job* job : jobs) {
+        openDueOccurrences(*job);
+        for (auto& [number, occurrence] : job->occurrences()) {
+            for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (reservesProcessorsForLong(job->spec().steps[step]) && occurrence.steps[step].waiting() > 0
+                    && isStepReady(*job, occurrence, step))
+                    waiting.push_back(beginPlacement(*job, number, step, context));
+            }
+        }
+    }
+    if (waiting.empty())
+        return;
+    std::vector<StepDemand> demands;
+    for (StepPlacement& placement : waiting) {
+        demands.push_back({ static_cast<uint32_t>(placement.state().tasks.size()), placement.state().placed,
+            placement.spec().resources.cpuMilli });
+    }
+    // While there is not room for all, each step gets this share of its tasks first, so that none gets nothing. The
+    // tasks of a step still follow each other: hosts with few services leave more of the others free of interference.
+    const double share = affordableShare(demands, freeProcessors(context));
+    for (StepPlacement& placement : waiting) {
+        const StepState& state = placement.state();
+        while (state.placed < share * static_cast<double>(state.tasks.size()) && placeNextTask(placement, context)) { }
+    }
+    for (StepPlacement& placement : waiting) {
+        while (!placement.foundNoHost && placeNextTask(placement, context)) { }
+        finishPlacement(placement, context);
+    }
 }
 
 void Dispatcher::refreshForecasts(HostState& host) const
@@ -111,8 +163,12 @@
     openDueOccurrences(job);
     for (auto& [number, occurrence] : job.occurrences()) {
         for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (occurrence.steps[step].waiting() > 0 && isStepReady(job, occurrence, step))
-                placeStep(job, number, step, context);
+            if (reservesProcessorsForLong(job.spec().steps[step]) || occurrence.steps[step].waiting() == 0
+                || !isStepReady(job, occurrence, step))
+                continue;
+            StepPlacement placement = beginPlacement(job, number, step, context);
+            while (placeNextTask(placement, context)) { }
+            finishPlacement(placement, context);
         }
     }
 }
@@ -154,52 +210,71 @@
     return constraints;
 }
 
-void Dispatcher::placeStep(Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context)
+Dispatcher::StepPlacement Dispatcher::beginPlacement(
+    Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context)
 {
-    const StepSpec& spec = job.spec().steps[step];
-    StepState& state = job.occurrence(occurrence).steps[step];
-    PlacementConstraints constraints = constraintsOf(job, state, spec);
-    const BestEffortLimits limits = bestEffortLimits(job, occurrence, step, context.now);
-    std::string placed;
-    double newlyOver = 0;
-    bool foundNoHost = false;
-    for (uint32_t index = 0; index < state.tasks.size(); ++index) {
-        TaskState& task = state.tasks[index];
+    StepPlacement placement;
+    placement.job = &job;
+    placement.occurrence = occurrence;
+    placement.step = step;
+    placement.constraints = constraintsOf(job, job.occurrence(occurrence).steps[step], job.spec().steps[step]);
+    placement.limits = bestEffortLimits(job, occurrence, step, context.now);
+    return placement;
+}
+
+bool Dispatcher::placeNextTask(StepPlacement& placement, const PlacementContext& context)
+{
+    Job& job = *placement.job;
+    const StepSpec& spec = placement.spec();
+    StepState& state = placement.state();
+    for (; placement.nextIndex < state.tasks.size(); ++placement.nextIndex) {
+        TaskState& task = state.tasks[placement.nextIndex];
         if (!task.needsPlacement() || context.now < task.notBefore)
             continue;
-        constraints.previousHost = task.host;
-        const HostState* host = chooseHost(spec, constraints, context, limits);
+        placement.constraints.previousHost = task.host;
+        const HostState* host = chooseHost(spec, placement.constraints, context, placement.limits);
         if (!host) {
-            foundNoHost = true;
-            break;
+            placement.foundNoHost = true;
+            holdHosts(state, spec, placement.constraints, context);
+            return false;
         }
-        ++constraints.tasksByHost[host->name];
+        ++placement.constraints.tasksByHost[host->name];
         if (spec.bestEffort)
-            newlyOver += newlyOverTarget(spec, *host, m_interference);
-        startTask(job, { job.id(), occurrence, step, index }, task, *host);
-        placed += (placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
+            placement.newlyOver += newlyOverTarget(spec, *host, m_interference);
+        const uint32_t index = placement.nextIndex++;
+        startTask(job, { job.id(), placement.occurrence, placement.step, index }, task, *host);
+        placement.placed += (placement.placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
+        return true;
     }
-    if (!placed.empty())
+    return false;
+}
+
+void Dispatcher::finishPlacement(const StepPlacement& placement, const PlacementContext& context)
+{
+    Job& job = *placement.job;
+    const StepSpec& spec = placement.spec();
+    StepState& state = placement.state();
+    if (!placement.placed.empty())
         state.heldSince.reset();
-    const TaskId firstTask { job.id(), occurrence, step, 0 };
-    if (foundNoHost) {
-        m_waitingSteps.noteWaiting(firstTask, spec, state.waiting(), constraints, context, limits);
-        holdHosts(state, spec, constraints, context);
+    const TaskId firstTask { job.id(), placement.occurrence, placement.step, 0 };
+    if (placement.foundNoHost) {
+        m_waitingSteps.noteWaiting(firstTask, spec, state.waiting(), placement.constraints, context, placement.limits);
     } else {
         m_waitingSteps.noteSettled(firstTask);
+        state.noRoomSince.reset();
     }
-    if (placed.empty())
+    if (placement.placed.empty())
         return;
     LogEvent(LogLevel::Info, "tasks_placed")
         .field("job", job.id())
-        .field("occurrence", occurrence)
-        .field("step", step)
+        .field("occurrence", placement.occurrence)
+        .field("step", placement.step)
         .field("priority", job.policy().priority)
         .field("waited_ms", static_cast<int64_t>((context.now - job.lastEventAt()).count()))
         .field("waiting", state.waiting())
-        .field("disturbed", static_cast<int64_t>(std::lround(newlyOver)))
-        .field("limited", limits.maxOverTarget < unlimited ? 1 : 0)
-        .field("hosts", placed);
+        .field("disturbed", static_cast<int64_t>(std::lround(placement.newlyOver)))
+        .field("limited", placement.limits.maxOverTarget < unlimited ? 1 : 0)
+        .field("hosts", placement.placed);
 }
 
 void Dispatcher::holdHosts(
@@ -214,8 +289,12 @@
         HostState& host = m_hosts.host(name);
         host.held = host.held + spec.resources;
     }
-    if (held.empty())
+    if (held.empty()) {
+        if (!state.noRoomSince)
+            state.noRoomSince = context.now;
         return state.heldSince.reset();
+    }
+    state.noRoomSince.reset();
     if (!state.heldSince)
         state.heldSince = context.now;
     // Short tasks rarely keep a large gap occupied, since they take the tightest fit. One host is enough to make
--- /dev/null
+++ b/src/dispatch/DispatcherRoom.cpp
@@ -0,0 +1,131 @@
+#include "base/Log.h"
+#include "dispatch/Dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlocklead::dispatch {
+
+std::vector<SharingStep> Dispatcher::sharingSteps() const
+{
+    std::vector<SharingStep> steps;
+    for (const std::string& id : m_openJobs) {
+        const Job* job = m_registry.find(id);
+        if (!job)
+            continue;
+        for (const auto& [number, occurrence] : job->occurrences()) {
+            for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (reservesProcessorsForLong(job->spec().steps[step]))
+                    steps.push_back(sharingStep(*job, number, step));
+            }
+        }
+    }
+    return steps;
+}
+
+SharingStep Dispatcher::sharingStep(const Job& job, uint32_t occurrence, uint32_t step) const
+{
+    SharingStep result;
+    result.job = &job;
+    result.occurrence = occurrence;
+    result.step = step;
+    result.tasks = static_cast<uint32_t>(result.state().tasks.size());
+    TaskId id = result.firstTask();
+    for (const TaskState& task : result.state().tasks) {
+        const HostRun* run = task.phase == TaskPhase::Placed ? m_hosts.findRun(task.host, id) : nullptr;
+        ++id.index;
+        if (!run || run->stopping)
+            continue;
+        ++result.placed;
+        const bool isAtWork = run->seen && task.percent == 100 && isInTouch(m_hosts.hosts().at(task.host));
+        result.atWork += isAtWork ? 1 : 0;
+    }
+    for (const auto& [task, transfer] : m_roomTransfers)
+        result.placed += transfer.receiver == result.firstTask() ? 1 : 0;
+    return result;
+}
+
+bool Dispatcher::isInTouch(const HostState& host) const
+{
+    return host.connected && host.reported && !host.last.silent
+        && m_clock.now() - host.reportedAt <= m_settings.maxReportAge;
+}
+
+bool Dispatcher::mayFindRoomSoon(const StepSpec& step) const
+{
+    const Instant now = m_clock.now();
+    return std::ranges::any_of(m_hosts.hosts(), [&](const auto& entry) {
+        const HostState& host = entry.second;
+        if (isInTouch(host))
+            return false;
+        // This owner has not heard yet what runs there.
+        if (host.life == 0)
+            return now < m_formerLeasesEnd;
+        return now - host.reportedAt < m_settings.lease && step.resources.fitsIn(host.free());
+    });
+}
+
+void Dispatcher::shareRoom()
+{
+    const Instant now = m_clock.now();
+    std::erase_if(m_roomTransfers, [&](const auto& entry) {
+        const HostState* host = m_hosts.find(entry.second.host);
+        return !host || !host->runs.contains(entry.first);
+    });
+    const auto lacksRoom = [&](const StepState& state) {
+        return state.noRoomSince && now - *state.noRoomSince >= m_settings.minWaitForRoom;
+    };
+    const auto hasStepWithoutRoom = [&](const std::string& id) {
+        const Job* job = m_registry.find(id);
+        return job && std::ranges::any_of(job->occurrences(), [&](const auto& occurrence) {
+            return std::ranges::any_of(occurrence.second.steps, lacksRoom);
+        });
+    };
+    if (std::ranges::none_of(m_openJobs, hasStepWithoutRoom))
+        return;
+    std::vector<SharingStep> steps = sharingSteps();
+    std::ranges::sort(steps, {}, [](const SharingStep& step) { return std::pair(step.share(), step.job->offset()); });
+    const PlacementContext context = placementContext();
+    for (SharingStep& step : steps) {
+        if (lacksRoom(step.state()) && !mayFindRoomSoon(step.spec()))
+            makeRoom(step, steps, context);
+    }
+}
+
+void Dispatcher::makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context)
+{
+    PlacementConstraints constraints = constraintsOf(*needy.job, needy.state(), needy.spec());
+    std::set<std::string> hosts;
+    uint32_t stopping = 0;
+    for (const auto& [task, transfer] : m_roomTransfers) {
+        hosts.insert(transfer.host);
+        if (transfer.receiver != needy.firstTask())
+            continue;
+        ++stopping;
+        ++constraints.tasksByHost[transfer.host];
+    }
+    for (; stopping < m_settings.maxStopsForRoom && needy.placed < needy.tasks; ++stopping) {
+        const std::optional<RunToStop> chosen = chooseRunToStop(needy, constraints, steps, hosts, context);
+        if (!chosen)
+            return;
+        HostState& host = m_hosts.host(chosen->host);
+        HostRun& run = host.runs.at(chosen->task);
+        LogEvent(LogLevel::Info, "run_stopped_for_room")
+            .field("host", host.name)
+            .field("task", chosen->task)
+            .field("attempt", run.attempt)
+            .field("receiver", needy.job->id())
+            .field("share_per_mille", std::lround(chosen->from->share() * 1000))
+            .field("receiver_share_per_mille", std::lround(needy.share() * 1000));
+        m_counters.add("runs_stopped_for_room");
+        stopRun(host, run);
+        m_roomTransfers.emplace(chosen->task, RoomTransfer { host.name, needy.firstTask() });
+        hosts.insert(host.name);
+        ++constraints.tasksByHost[host.name];
+        --chosen->from->placed;
+        --chosen->from->atWork;
+        ++needy.placed;
+    }
+}
+
+} // namespace hemlocklead::dispatch
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -177,6 +177,13 @@
     return chosen;
 }
 
+bool fitsAfterEndOf(const HostRun& run, const StepSpec& step, const PlacementConstraints& constraints,
+    const HostState& host, const PlacementContext& context)
+{
+    return matches(step, constraints.service, host) && isUsable(host, context)
+        && withinHostLimit(step, constraints, host) && step.resources.fitsIn(host.available() + run.reserved);
+}
+
 const HostState* chooseHost(const StepSpec& step, const PlacementConstraints& constraints,
     const PlacementContext& context, const BestEffortLimits& limits)
 {
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -70,6 +70,10 @@
 std::vector<std::string> chooseHostsToHold(
     const StepSpec& step, PlacementConstraints constraints, const PlacementContext& context, uint32_t tasks);
 
+/// Whether a task of the step, which reserves its processors, would fit on the host once the run has ended.
+bool fitsAfterEndOf(const HostRun& run, const StepSpec& step, const PlacementConstraints& constraints,
+    const HostState& host, const PlacementContext& context);
+
 /// Chooses the host for one task, or null if none qualifies.
 ///
 /// Tasks with reserved processors are placed best-fit, on the host with the fewest free processors, so that large gaps
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -59,6 +59,10 @@
     /// Since when hosts are held for the waiting tasks. Not recorded; only the owner maintains it.
     std::optional<Instant> heldSince {};
 
+    /// Since when a waiting task has found no host, nor one that only short runs occupy. Not recorded; only the owner
+    /// maintains it.
+    std::optional<Instant> noRoomSince {};
+
     bool isDone() const { return done == tasks.size(); }
     uint32_t waiting() const { return static_cast<uint32_t>(tasks.size()) - done - placed; }
 };
--- /dev/null
+++ b/src/dispatch/RoomSharing.cpp
@@ -0,0 +1,73 @@
+#include "dispatch/RoomSharing.h"
+
+#include <algorithm>
+
+namespace hemlocklead::dispatch {
+
+namespace {
+
+    /// Whether `from` stays at least as well off as `needy` after it has given up a task for one of `needy`.
+    bool canGiveTo(const SharingStep& from, const SharingStep& needy)
+    {
+        const auto shareAfter
+            = [](const SharingStep& step, uint32_t placed) { return static_cast<double>(placed) / step.tasks; };
+        return from.job->policy().priority >= needy.job->policy().priority && from.mayLoseTask()
+            && shareAfter(from, from.placed - 1) >= shareAfter(needy, needy.placed + 1);
+    }
+
+} // namespace
+
+double affordableShare(const std::vector<StepDemand>& demands, int64_t freeMilli)
+{
+    // Fills the steps from the smallest placed share upwards: `rate` processors are needed for each unit of share.
+    std::vector<std::pair<double, double>> steps; // Placed share, processors of all tasks.
+    for (const StepDemand& demand : demands) {
+        steps.emplace_back(
+            static_cast<double>(demand.placed) / demand.tasks, static_cast<double>(demand.cpuMilli) * demand.tasks);
+    }
+    std::ranges::sort(steps);
+    double left = static_cast<double>(freeMilli);
+    double rate = 0;
+    for (size_t i = 0; i < steps.size(); ++i) {
+        rate += steps[i].second;
+        const double next = i + 1 < steps.size() ? steps[i + 1].first : 1;
+        const double needed = rate * (next - steps[i].first);
+        if (needed > left)
+            return steps[i].first + left / rate;
+        left -= needed;
+    }
+    return 1;
+}
+
+std::optional<RunToStop> chooseRunToStop(const SharingStep& needy, const PlacementConstraints& constraints,
+    std::vector<SharingStep>& steps, const std::set<std::string>& excluded, const PlacementContext& context)
+{
+    std::map<TaskId, SharingStep*> givers;
+    for (SharingStep& step : steps) {
+        if (canGiveTo(step, needy))
+            givers.emplace(step.firstTask(), &step);
+    }
+    if (givers.empty())
+        return std::nullopt;
+    std::optional<RunToStop> best;
+    std::pair<double, int64_t> bestKey;
+    for (const auto& [name, host] : context.hosts) {
+        if (excluded.contains(name))
+            continue;
+        for (const auto& [task, run] : host.runs) {
+            const auto giver = givers.find({ run.task.job, run.task.occurrence, run.task.step, 0 });
+            if (giver == givers.end() || !run.seen || run.stopping
+                || !fitsAfterEndOf(run, needy.spec(), constraints, host, context))
+                continue;
+            const std::pair key { -giver->second->share(),
+                host.available().cpuMilli + run.reserved.cpuMilli - needy.spec().resources.cpuMilli };
+            if (best && bestKey <= key)
+                continue;
+            best = { name, task, giver->second };
+            bestKey = key;
+        }
+    }
+    return best;
+}
+
+} // namespace hemlocklead::dispatch
--- a/tests/unit/RoomSharingTest.cpp
+++ b/tests/unit/RoomSharingTest.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/RoomSharing.h"
 #include "ClusterSimulation.h"
 #include "EventOrders.h"
 
@@ -178,5 +179,16 @@
         EXPECT_EQ(stops(), 0u);
     }
 
+    // Guards against a share that leaves room unused, or that asks for more than there is.
+    TEST(AffordableShareTest, share_demandsDifferInPlacedShare_fillsTheSmallestFirst)
+    {
+        using dispatch::affordableShare;
+        EXPECT_DOUBLE_EQ(affordableShare({ { 10, 0, 1000 } }, 20'000), 1);
+        EXPECT_DOUBLE_EQ(affordableShare({ { 10, 0, 1000 } }, 4000), 0.4);
+        EXPECT_DOUBLE_EQ(affordableShare({ { 10, 0, 1000 }, { 10, 0, 3000 } }, 20'000), 0.5);
+        EXPECT_DOUBLE_EQ(affordableShare({ { 10, 0, 1000 }, { 10, 5, 1000 } }, 3000), 0.3);
+        EXPECT_DOUBLE_EQ(affordableShare({ { 10, 0, 1000 }, { 10, 5, 1000 } }, 7000), 0.6);
+    }
+
 } // namespace
 } // namespace hemlocklead
