--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -44,6 +44,7 @@
     }
     const PlacementContext context = placementContext();
     std::vector<Job*> ordered;
+    ordered.reserve(jobs.size());
     for (const auto& [key, job] : jobs)
         ordered.push_back(job);
     for (auto first = ordered.begin(); first != ordered.end();) {
@@ -71,6 +72,7 @@
     if (waiting.empty())
         return;
     std::vector<StepDemand> demands;
+    demands.reserve(waiting.size());
     for (StepPlacement& placement : waiting) {
         demands.push_back({ static_cast<uint32_t>(placement.state().tasks.size()), placement.state().placed,
             placement.spec().resources.cpuMilli });
--- a/src/dispatch/RoomSharing.cpp
+++ b/src/dispatch/RoomSharing.cpp
@@ -21,6 +21,7 @@
 {
     // Fills the steps from the smallest placed share upwards: `rate` processors are needed for each unit of share.
     std::vector<std::pair<double, double>> steps; // Placed share, processors of all tasks.
+    steps.reserve(demands.size());
     for (const StepDemand& demand : demands) {
         steps.emplace_back(
             static_cast<double>(demand.placed) / demand.tasks, static_cast<double>(demand.cpuMilli) * demand.tasks);
@@ -42,10 +43,10 @@
 std::optional<RunToStop> chooseRunToStop(const SharingStep& needy, const PlacementConstraints& constraints,
     std::vector<SharingStep>& steps, const std::set<std::string>& excluded, const PlacementContext& context)
 {
-    std::map<TaskId, SharingStep*> givers;
+    std::vector<SharingStep*> givers;
     for (SharingStep& step : steps) {
         if (canGiveTo(step, needy))
-            givers.emplace(step.firstTask(), &step);
+            givers.push_back(&step);
     }
     if (givers.empty())
         return std::nullopt;
@@ -54,16 +55,18 @@
     for (const auto& [name, host] : context.hosts) {
         if (excluded.contains(name))
             continue;
-        for (const auto& [task, run] : host.runs) {
-            const auto giver = givers.find({ run.task.job, run.task.occurrence, run.task.step, 0 });
+        for (const auto& entry : host.runs) {
+            const HostRun& run = entry.second;
+            const auto giver
+                = std::ranges::find_if(givers, [&](const SharingStep* step) { return step->contains(run.task); });
             if (giver == givers.end() || !run.seen || run.stopping
                 || !fitsAfterEndOf(run, needy.spec(), constraints, host, context))
                 continue;
-            const std::pair key { -giver->second->share(),
+            const std::pair key { -(*giver)->share(),
                 host.available().cpuMilli + run.reserved.cpuMilli - needy.spec().resources.cpuMilli };
             if (best && bestKey <= key)
                 continue;
-            best = { name, task, giver->second };
+            best = { name, entry.first, *giver };
             bestKey = key;
         }
     }
--- a/src/dispatch/RoomSharing.h
+++ b/src/dispatch/RoomSharing.h
@@ -22,6 +22,10 @@
     const StepSpec& spec() const { return job->spec().steps[step]; }
     const StepState& state() const { return job->occurrences().at(occurrence).steps[step]; }
     TaskId firstTask() const { return { job->id(), occurrence, step, 0 }; }
+    bool contains(const TaskId& task) const
+    {
+        return task.job == job->id() && task.occurrence == occurrence && task.step == step;
+    }
     double share() const { return static_cast<double>(placed) / tasks; }
 
     /// Whether one task may be stopped without exceeding the step's `maxUnavailable`.
