--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -203,6 +203,7 @@
 
     // Division of scarce room among long-running steps.
     void shareRoom();
+    void holdTransferredRoom();
     std::vector<SharingStep> sharingSteps() const;
     SharingStep sharingStep(const Job& job, uint32_t occurrence, uint32_t step) const;
     bool isInTouch(const HostState& host) const;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -42,6 +42,7 @@
         host.isHeldFromShortTasks = false;
         refreshForecasts(host);
     }
+    holdTransferredRoom();
     const PlacementContext context = placementContext();
     std::vector<Job*> ordered;
     ordered.reserve(jobs.size());
--- a/src/dispatch/DispatcherRoom.cpp
+++ b/src/dispatch/DispatcherRoom.cpp
@@ -92,6 +92,25 @@
     }
 }
 
+void Dispatcher::holdTransferredRoom()
+{
+    for (const auto& [task, transfer] : m_roomTransfers) {
+        HostState& host = m_hosts.host(transfer.host);
+        const auto run = host.runs.find(task);
+        const Job* receiver = m_registry.find(transfer.receiver.job);
+        if (run == host.runs.end() || !receiver)
+            continue;
+        // What the receiver needs beyond the room of the run must still be free when the run has ended.
+        const Resources& needed = receiver->spec().steps[transfer.receiver.step].resources;
+        const Resources& given = run->second.reserved;
+        host.held = host.held
+            + Resources { std::max<int64_t>(needed.cpuMilli - given.cpuMilli, 0),
+                  std::max<int64_t>(needed.memoryMib - given.memoryMib, 0),
+                  std::max<int64_t>(needed.accelerators - given.accelerators, 0) };
+        host.isHeldFromShortTasks = true;
+    }
+}
+
 void Dispatcher::makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context)
 {
     PlacementConstraints constraints = constraintsOf(*needy.job, needy.state(), needy.spec());
--- a/tests/unit/RoomSharingTest.cpp
+++ b/tests/unit/RoomSharingTest.cpp
@@ -170,6 +170,24 @@
         EXPECT_EQ(m_cluster.running("last"), 2u);
     }
 
+    // Guards against a stop in vain (issue 43): short tasks took the free room beside the run that was being stopped,
+    // so the task for which it was stopped did not fit afterwards.
+    TEST(RoomSharingTest, runIsBeingStoppedForRoom_shortTasksArrive_leaveTheRoomToTheReceiver)
+    {
+        ClusterSimulation cluster { { .hosts = 1, .dataCentres = 1 } };
+        cluster.submit("first", watch(4, 15'000));
+        cluster.run(Duration { 3000 });
+        cluster.submit("last", watch(4, 18'000));
+        while (cluster.services().at("first").stops == 0)
+            cluster.run(Duration { 25 });
+        StepSpec step;
+        step.tasks = 4;
+        step.resources = { 1000, 100, 0 };
+        cluster.submit("short", step);
+        cluster.run(Duration { 2000 });
+        EXPECT_EQ(cluster.running("last"), 1u);
+    }
+
     // Guards against stops that nobody gains by: no end of a run makes room for the task.
     TEST_F(FullClusterTest, job_fitsOnNoHost_stopsNoRuns)
     {
