--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -206,7 +206,6 @@
     void holdTransferredRoom();
     std::vector<SharingStep> sharingSteps() const;
     SharingStep sharingStep(const Job& job, uint32_t occurrence, uint32_t step) const;
-    bool isInTouch(const HostState& host) const;
     /// Whether a host that is out of touch for the moment may have room for a task of the step.
     bool mayFindRoomSoon(const StepSpec& step) const;
     void makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context);
--- a/src/dispatch/DispatcherRoom.cpp
+++ b/src/dispatch/DispatcherRoom.cpp
@@ -30,6 +30,7 @@
     result.occurrence = occurrence;
     result.step = step;
     result.tasks = static_cast<uint32_t>(result.state().tasks.size());
+    const Instant now = m_clock.now();
     TaskId id = result.firstTask();
     for (const TaskState& task : result.state().tasks) {
         const HostRun* run = task.phase == TaskPhase::Placed ? m_hosts.findRun(task.host, id) : nullptr;
@@ -37,7 +38,8 @@
         if (!run || run->stopping)
             continue;
         ++result.placed;
-        const bool isAtWork = run->seen && task.percent == 100 && isInTouch(m_hosts.hosts().at(task.host));
+        const bool isAtWork
+            = run->seen && task.percent == 100 && m_hosts.hosts().at(task.host).isInTouch(now, m_settings.maxReportAge);
         result.atWork += isAtWork ? 1 : 0;
     }
     for (const auto& [task, transfer] : m_roomTransfers)
@@ -45,18 +47,12 @@
     return result;
 }
 
-bool Dispatcher::isInTouch(const HostState& host) const
-{
-    return host.connected && host.reported && !host.last.silent
-        && m_clock.now() - host.reportedAt <= m_settings.maxReportAge;
-}
-
 bool Dispatcher::mayFindRoomSoon(const StepSpec& step) const
 {
     const Instant now = m_clock.now();
     return std::ranges::any_of(m_hosts.hosts(), [&](const auto& entry) {
         const HostState& host = entry.second;
-        if (isInTouch(host))
+        if (host.isInTouch(now, m_settings.maxReportAge))
             return false;
         // This owner has not heard yet what runs there.
         if (host.life == 0)
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -124,8 +124,7 @@
 
 bool isUsable(const HostState& host, const PlacementContext& context)
 {
-    return host.connected && host.reported && host.acceptsOrders() && !host.last.draining && !host.last.silent
-        && context.now - host.reportedAt <= context.maxReportAge
+    return host.isInTouch(context.now, context.maxReportAge) && host.acceptsOrders() && !host.last.draining
         && !context.closedDataCentres.contains(host.last.dataCentre) && !context.isEjected(host.name);
 }
 
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -100,6 +100,12 @@
     /// Whether the worker can be given orders, as far as the reports show.
     bool acceptsOrders() const { return life != 0 && last.life == life; }
 
+    /// Whether the worker is known to run at `now`: the last report is no older than `maxReportAge`.
+    bool isInTouch(Instant now, Duration maxReportAge) const
+    {
+        return connected && reported && !last.silent && now - reportedAt <= maxReportAge;
+    }
+
     /// Whether the absence of a run from a report shows that it does not exist. Agents of earlier builds do not say
     /// whether the worker refuses former owners.
     bool showsAbsence() const { return isFenced() || !last.fencesEpochs; }
--- a/src/dispatch/RoomSharing.cpp
+++ b/src/dispatch/RoomSharing.cpp
@@ -9,10 +9,8 @@
     /// Whether `from` stays at least as well off as `needy` after it has given up a task for one of `needy`.
     bool canGiveTo(const SharingStep& from, const SharingStep& needy)
     {
-        const auto shareAfter
-            = [](const SharingStep& step, uint32_t placed) { return static_cast<double>(placed) / step.tasks; };
         return from.job->policy().priority >= needy.job->policy().priority && from.mayLoseTask()
-            && shareAfter(from, from.placed - 1) >= shareAfter(needy, needy.placed + 1);
+            && from.shareOf(from.placed - 1) >= needy.shareOf(needy.placed + 1);
     }
 
 } // namespace
--- a/src/dispatch/RoomSharing.h
+++ b/src/dispatch/RoomSharing.h
@@ -26,7 +26,8 @@
     {
         return task.job == job->id() && task.occurrence == occurrence && task.step == step;
     }
-    double share() const { return static_cast<double>(placed) / tasks; }
+    double share() const { return shareOf(placed); }
+    double shareOf(uint32_t placedTasks) const { return static_cast<double>(placedTasks) / tasks; }
 
     /// Whether one task may be stopped without exceeding the step's `maxUnavailable`.
     bool mayLoseTask() const
--- a/tests/unit/ClusterSimulation.cpp
+++ b/tests/unit/ClusterSimulation.cpp
@@ -132,7 +132,7 @@
         const std::string job = parseTaskId(stop.task)->job;
         Service& service = m_services.at(job);
         ++service.stops;
-        service.mostStopped = std::max(service.mostStopped, m_jobs.at(job).tasks - running(job));
+        service.mostAway = std::max(service.mostAway, m_jobs.at(job).tasks - running(job));
     }
 }
 
--- a/tests/unit/ClusterSimulation.h
+++ b/tests/unit/ClusterSimulation.h
@@ -32,12 +32,12 @@
         Duration offered { 0 }; ///< Time of all tasks since the job was submitted.
         Duration received { 0 }; ///< The part of it in which they ran.
         uint32_t stops { 0 }; ///< Runs that the owner stopped.
-        uint32_t mostStopped { 0 }; ///< Most tasks without a run at any stop of one, that one not counted.
+        uint32_t mostAway { 0 }; ///< Most tasks without a run at any stop of one, that one not counted.
     };
 
     explicit ClusterSimulation(Settings settings);
 
-    /// Submits a job of one long-running step.
+    /// Submits a job of one step. Runs of steps that do not last never end by themselves.
     void submit(const std::string& job, const dispatch::StepSpec& step);
 
     /// Advances the time in scheduling cycles.
--- a/tests/unit/RoomSharingTest.cpp
+++ b/tests/unit/RoomSharingTest.cpp
@@ -149,7 +149,7 @@
         EXPECT_EQ(m_cluster.running("last"), 4u);
         for (const char* job : { "a", "b", "c", "d" }) {
             EXPECT_EQ(m_cluster.services().at(job).stops, 1u);
-            EXPECT_EQ(m_cluster.services().at(job).mostStopped, 0u);
+            EXPECT_EQ(m_cluster.services().at(job).mostAway, 0u);
         }
     }
 
