--- a/review/tools-3/CaseMain.cpp
+++ b/review/tools-3/CaseMain.cpp
@@ -217,6 +217,38 @@
         return isBroken ? Broken : Held;
     }
 
+    /// A job with large lasting tasks waits for room. A later one with small lasting tasks would fit beside what runs.
+    int heldRoom(Site& site)
+    {
+        const auto lastingJob = [](int cpu) {
+            return R"({"spec":"lasts","steps":[{"count":3,"cpu":)" + std::to_string(cpu)
+                + R"(,"memMb":1000,"estimateMs":400,"longRunning":true,"image":"watch","antiAffinity":1}]})";
+        };
+        const char* shortJob = R"({"spec":"work=40000","steps":[{"count":30,"cpu":1200,"memMb":500,"estimateMs":40000,)"
+                               R"("image":"lookup","antiAffinity":10}]})";
+        if (!site.start() || !site.submit("/build/00000000000000d1", shortJob)
+            || !site.submit("/build/00000000000000d2", shortJob))
+            return NotRun;
+        if (!site.waitUntil([&] { return runningTasks(site, "00000000000000d") == 60; }, Duration { 10'000 }))
+            return NotRun;
+        site.record().line("24 of 32 cores of each minion are reserved");
+        // Tasks of 10 cores do not fit into the 8 that are left, tasks of 4 cores do.
+        if (hasTrouble() && !site.submit("/watch/00000000000000e1", lastingJob(10'000)))
+            return NotRun;
+        site.wait(Duration { 1000 });
+        if (!site.submit("/watch/00000000000000e2", lastingJob(4000)))
+            return NotRun;
+        // The rule counts from 6 s after the last run of a task; then 3 s without one break it. The case watches 30 s.
+        site.wait(Duration { 6000 + 3000 + 1000 });
+        for (int second = 0; second < 20 && runningTasks(site, "00000000000000e2") < 3; ++second) {
+            site.state("/watch/00000000000000e2");
+            site.wait(Duration { 1000 });
+        }
+        const size_t running = runningTasks(site, "00000000000000e2");
+        site.record().line(std::to_string(running) + " of 3 small tasks run");
+        return running == 3 ? Held : Broken;
+    }
+
     struct Case {
         const char* name;
         int (*play)(Site&);
@@ -232,7 +264,7 @@
         }
         const Case cases[] = { { "agent-killed", &agentKilled, threeMinions },
             { "late-order", &lateOrder, threeMinions }, { "busy-services", &busyServices, threeMinions },
-            { "failing-worker", &failingWorker, elevenMinions } };
+            { "failing-worker", &failingWorker, elevenMinions }, { "held-room", &heldRoom, threeMinions } };
         for (const Case& entry : cases) {
             if (std::strcmp(entry.name, name) != 0)
                 continue;
