--- a/review/tools-3/CaseMain.cpp
+++ b/review/tools-3/CaseMain.cpp
@@ -125,8 +125,8 @@
     {
         bool interferes = false;
         bool isFirst = true;
-        site.minion(0).delayOfPace = [&]() -> std::optional<Duration> {
-            if (!std::exchange(isFirst, false))
+        site.minion(0).delayOf = [&](const std::string& path) -> std::optional<Duration> {
+            if (path != "/v1/pace" || !std::exchange(isFirst, false))
                 return std::nullopt;
             site.record().line("tasks that fill no longer disturb others");
             interferes = false;
--- a/review/tools-3/Minion.cpp
+++ b/review/tools-3/Minion.cpp
@@ -39,8 +39,8 @@
     : m_clock(clock)
     , m_record(record)
     , m_settings(std::move(settings))
-    , m_server(loop, [this](const HttpRequest& request, const Responder& responder) { handle(request, responder); })
     , m_loop(loop)
+    , m_server(loop, [this](const HttpRequest& request, const Responder& responder) { handle(request, responder); })
     , m_tickTimer(loop)
     , m_statusTimer(loop)
     , m_bornAt(clock.now())
@@ -82,25 +82,28 @@
     const Json body = Json::parse(request.body, nullptr, false);
     if (!body.is_object())
         return responder->reply(jsonResponse(400, "{}"));
-    if (isFenced(body))
-        return responder->reply(conflict("fence"));
     if (request.path == "/v1/hold")
-        return hold(body, responder);
-    if (request.path == "/v1/run-start")
-        return responder->reply(start(body));
-    if (request.path == "/v1/run-stop")
-        return responder->reply(stop(body));
-    if (request.path == "/v1/pace") {
-        const std::optional<Duration> delay = delayOfPace();
-        if (!delay)
-            return responder->reply(pace(body));
-        m_record.line(m_settings.name + " leaves pace " + std::to_string(body.value("percent", 100)) + " for "
-            + body.value("task", std::string()) + " unanswered");
-        m_latePaces.emplace(m_clock.now() + *delay, body);
-        m_unanswered.push_back(responder);
-        return;
-    }
-    responder->reply(jsonResponse(404, "{}"));
+        return isFenced(body) ? responder->reply(conflict("fence")) : hold(body, responder);
+    const std::optional<Duration> delay = delayOf(request.path);
+    if (!delay)
+        return responder->reply(carryOut(request.path, body));
+    m_record.line(m_settings.name + " leaves " + request.path + " for " + body.value("task", std::string()) + " run "
+        + std::to_string(body.value("runId", 0)) + " unanswered");
+    m_lateOrders.emplace(m_clock.now() + *delay, std::pair(request.path, body));
+    m_unanswered.push_back(responder);
+}
+
+HttpResponse Minion::carryOut(const std::string& path, const Json& body)
+{
+    if (isFenced(body))
+        return conflict("fence");
+    if (path == "/v1/run-start")
+        return start(body);
+    if (path == "/v1/run-stop")
+        return stop(body);
+    if (path == "/v1/pace")
+        return pace(body);
+    return jsonResponse(404, "{}");
 }
 
 bool Minion::isFenced(const Json& body)
@@ -176,9 +179,6 @@
 
 HttpResponse Minion::pace(const Json& body)
 {
-    // An order that is carried out late may have been overtaken by a higher epoch number.
-    if (isFenced(body))
-        return conflict("fence");
     const auto task = body.value("task", std::string());
     const auto percent = body.value("percent", int64_t { 100 });
     const auto running = m_runs.find(task);
@@ -237,8 +237,11 @@
 void Minion::tick()
 {
     const Instant now = m_clock.now();
-    while (!m_latePaces.empty() && m_latePaces.begin()->first <= now)
-        pace(m_latePaces.extract(m_latePaces.begin()).mapped());
+    while (!m_lateOrders.empty() && m_lateOrders.begin()->first <= now) {
+        const auto [path, body] = m_lateOrders.extract(m_lateOrders.begin()).mapped();
+        m_record.line(m_settings.name + " carries out late " + path + " for " + body.value("task", std::string()));
+        carryOut(path, body);
+    }
     const auto elapsed = static_cast<double>((now - m_tickedAt).count());
     m_tickedAt = now;
     std::vector<std::pair<std::string, std::string>> ends;
--- a/review/tools-3/Minion.h
+++ b/review/tools-3/Minion.h
@@ -53,8 +53,10 @@
     /// How long after its start a run fails; empty for one that does not.
     std::function<std::optional<Duration>()> failureOf = [] { return std::optional<Duration>(); };
 
-    /// For how long a pace order stays unanswered before it is carried out; empty for one that is answered at once.
-    std::function<std::optional<Duration>()> delayOfPace = [] { return std::optional<Duration>(); };
+    /// For how long an order with that path stays unanswered before it is carried out; empty for one that is answered
+    /// at once.
+    std::function<std::optional<Duration>(const std::string& path)> delayOf
+        = [](const std::string&) { return std::optional<Duration>(); };
 
     /// Called at each start and end of a run.
     std::function<void(const std::string& task)> onStart = [](const std::string&) {};
@@ -84,6 +86,7 @@
     hemlocklead::HttpResponse start(const hemlocklead::Json& body);
     hemlocklead::HttpResponse stop(const hemlocklead::Json& body);
     hemlocklead::HttpResponse pace(const hemlocklead::Json& body);
+    hemlocklead::HttpResponse carryOut(const std::string& path, const hemlocklead::Json& body);
     void hold(const hemlocklead::Json& body, const Responder& responder);
     hemlocklead::HttpResponse lists() const;
     void extendLease(const hemlocklead::Json& body);
@@ -96,14 +99,14 @@
     const hemlocklead::Clock& m_clock;
     Record& m_record;
     Settings m_settings;
-    hemlocklead::HttpServer m_server;
     hemlocklead::EventLoop& m_loop;
+    hemlocklead::HttpServer m_server;
     std::unique_ptr<hemlocklead::HttpClient> m_control;
     hemlocklead::Timer m_tickTimer;
     hemlocklead::Timer m_statusTimer;
     Instant m_bornAt;
     Instant m_tickedAt;
-    int64_t m_born;
+    int64_t m_born { 0 };
     uint64_t m_sequence { 0 };
     uint64_t m_highestFence { 0 };
     int64_t m_leaseUntilMs { 0 };
@@ -112,7 +115,8 @@
     std::map<std::string, uint32_t> m_endedAttempts; ///< Highest attempt of each task that ended or was stopped.
     std::vector<End> m_ends;
     std::list<Waiting> m_waiting;
-    std::multimap<Instant, hemlocklead::Json> m_latePaces; ///< Orders that were left unanswered, by due time.
+    /// Orders that were left unanswered, by due time, with their paths.
+    std::multimap<Instant, std::pair<std::string, hemlocklead::Json>> m_lateOrders;
     std::vector<Responder> m_unanswered;
 };
 
