--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -219,8 +219,14 @@
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
     void openDueOccurrences(Job& job);
     PlacementConstraints constraintsOf(const Job& job, const StepState& state, const StepSpec& spec);
-    void holdHosts(StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
+    void holdHosts(const Job& job, StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
         const PlacementContext& context);
+    /// Since when the task has had no run, as far as this owner knows.
+    Instant withoutRunSince(const Job& job, const TaskState& task) const
+    {
+        return std::max({ task.lastRunAt, job.seenAt(), m_activeSince });
+    }
+    Duration longestTimeWithoutRun(const Job& job, const StepState& state, Instant now) const;
 
     // Division of scarce room among jobs that end (DispatcherOverload.cpp).
     /// A best-effort run that can resume elsewhere, of a job that gives way.
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -39,6 +39,7 @@
     std::ranges::sort(jobs, {}, [](const auto& entry) { return entry.first; });
     for (auto& [name, host] : m_hosts.hosts()) {
         host.held = {};
+        host.heldFor.clear();
         host.isHeldFromShortTasks = false;
         refreshForecasts(host);
     }
@@ -247,7 +248,7 @@
         if (!host) {
             placement.foundNoHost = true;
             noteLackOfRoom(job, { job.id(), placement.occurrence, placement.step, 0 });
-            holdHosts(state, spec, placement.constraints, context);
+            holdHosts(job, state, spec, placement.constraints, context);
             return false;
         }
         ++placement.constraints.tasksByHost[host->name];
@@ -263,6 +264,16 @@
     return false;
 }
 
+Duration Dispatcher::longestTimeWithoutRun(const Job& job, const StepState& state, Instant now) const
+{
+    Duration longest { 0 };
+    for (const TaskState& task : state.tasks) {
+        if (task.needsPlacement())
+            longest = std::max(longest, now - withoutRunSince(job, task));
+    }
+    return longest;
+}
+
 void Dispatcher::finishPlacement(const StepPlacement& placement, const PlacementContext& context)
 {
     Job& job = *placement.job;
@@ -272,7 +283,8 @@
         state.heldSince.reset();
     const TaskId firstTask { job.id(), placement.occurrence, placement.step, 0 };
     if (placement.foundNoHost) {
-        m_waitingSteps.noteWaiting(firstTask, spec, state.waiting(), placement.constraints, context, placement.limits);
+        m_waitingSteps.noteWaiting(firstTask, spec, state, longestTimeWithoutRun(job, state, context.now),
+            placement.constraints, context, placement.limits);
     } else {
         m_waitingSteps.noteSettled(firstTask);
         state.noRoomSince.reset();
@@ -291,8 +303,8 @@
         .field("hosts", placement.placed);
 }
 
-void Dispatcher::holdHosts(
-    StepState& state, const StepSpec& spec, const PlacementConstraints& constraints, const PlacementContext& context)
+void Dispatcher::holdHosts(const Job& job, StepState& state, const StepSpec& spec,
+    const PlacementConstraints& constraints, const PlacementContext& context)
 {
     // Short tasks and best-effort tasks soon find room again.
     if (!spec.longRunning || spec.bestEffort)
@@ -302,6 +314,8 @@
     for (const std::string& name : held) {
         HostState& host = m_hosts.host(name);
         host.held = host.held + spec.resources;
+        if (host.heldFor.empty())
+            host.heldFor = job.id();
     }
     if (held.empty()) {
         if (!state.noRoomSince)
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -233,6 +233,7 @@
 {
     const Instant now = m_clock.now();
     job.noteEvent(now);
+    task.lastRunAt = now;
     noteRunBegan(job);
     markDirty(job);
     if (!end.checkpoint.empty())
@@ -361,6 +362,7 @@
         known.seenAt = m_clock.now();
     known.seen = true;
     noteRunBegan(*job);
+    task->lastRunAt = m_clock.now();
     known.tailPerMille = row.tailPerMille;
     host.setSpeed(known, row.pace);
     moveIfPaused(host, known, *job, row);
--- a/src/dispatch/DispatcherRoom.cpp
+++ b/src/dispatch/DispatcherRoom.cpp
@@ -103,6 +103,7 @@
             + Resources { std::max<int64_t>(needed.cpuMilli - given.cpuMilli, 0),
                   std::max<int64_t>(needed.memoryMib - given.memoryMib, 0),
                   std::max<int64_t>(needed.accelerators - given.accelerators, 0) };
+        host.heldFor = receiver->id();
         host.isHeldFromShortTasks = true;
     }
 }
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -85,6 +85,7 @@
     Resources longRunningReserved; ///< The part of `reserved` that long-running tasks hold.
     /// Kept from younger long-running tasks, for older ones that do not fit yet. Set anew in each scheduling cycle.
     Resources held;
+    std::string heldFor; ///< Job of the oldest task that `held` contains room for.
     bool isHeldFromShortTasks { false }; ///< Short tasks may not use what is held either.
     int64_t usageMilli { 0 }; ///< Expected use of all runs but the long-running ones, thousandths of a core.
     int64_t longRunningMilli { 0 }; ///< Declared processors of the long-running ones, thousandths of a core.
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -35,6 +35,7 @@
 
     // Not recorded; only the owner maintains them.
     Instant notBefore {}; ///< A task whose start was refused is not placed again before this.
+    Instant lastRunAt {}; ///< When this owner last heard of a run of the task.
     int64_t percent { 0 };
     uint32_t moves { 0 }; ///< Runs that were stopped so that the task continues on another host.
 
--- a/src/dispatch/WaitingStepLog.cpp
+++ b/src/dispatch/WaitingStepLog.cpp
@@ -20,8 +20,8 @@
 {
 }
 
-void WaitingStepLog::noteWaiting(const TaskId& task, const StepSpec& step, uint32_t waiting,
-    const PlacementConstraints& constraints, const PlacementContext& context, const BestEffortLimits& limits)
+void WaitingStepLog::noteWaiting(const TaskId& task, const StepSpec& step, const StepState& stepState,
+    Duration longestWithoutRun, const PlacementConstraints& constraints, const PlacementContext& context, const BestEffortLimits& limits)
 {
     const WaitingStep begun { context.now, context.now + m_settings.delay, context.now };
     WaitingStep& state = m_steps.try_emplace(keyOf(task), begun).first->second;
@@ -34,8 +34,12 @@
     std::array<uint64_t, hostRejectionCount> hosts {};
     Resources free;
     int64_t bestEffortMemoryMib = 0;
+    std::string heldFor;
     for (const auto& [name, host] : context.hosts) {
-        ++hosts[static_cast<size_t>(rejectionOf(host, step, constraints, context, limits))];
+        const HostRejection rejection = rejectionOf(host, step, constraints, context, limits);
+        ++hosts[static_cast<size_t>(rejection)];
+        if (rejection == HostRejection::Held && heldFor.empty())
+            heldFor = host.heldFor;
         if (!isUsable(host, context))
             continue;
         free = free + host.free();
@@ -46,13 +50,19 @@
     event.field("job", task.job)
         .field("occurrence", task.occurrence)
         .field("step", task.step)
-        .field("waiting", waiting)
+        .field("waiting", stepState.waiting())
         .field("waited_ms", static_cast<int64_t>((context.now - state.since).count()))
         .field("cpu_milli", step.resources.cpuMilli)
         .field("memory_mib", step.resources.memoryMib)
         .field("free_cpu_milli", free.cpuMilli)
         .field("free_memory_mib", free.memoryMib)
         .field("best_effort_memory_mib", bestEffortMemoryMib);
+    const auto sinceMs = [&](const std::optional<Instant>& since) {
+        return static_cast<int64_t>(since ? (context.now - *since).count() : 0);
+    };
+    event.field("without_run_ms", static_cast<int64_t>(longestWithoutRun.count()))
+        .field("holding_ms", sinceMs(stepState.heldSince))
+        .field("held_for", heldFor);
     for (size_t reason = 0; reason < hostRejectionCount; ++reason)
         event.field(rejectionNames[reason], hosts[reason]);
 }
--- a/src/dispatch/WaitingStepLog.h
+++ b/src/dispatch/WaitingStepLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/HostChooser.h"
+#include "dispatch/JobState.h"
 
 #include <tuple>
 
@@ -17,8 +18,9 @@
 
     explicit WaitingStepLog(Settings settings);
 
-    /// Notes that a task of the step has found no host.
-    void noteWaiting(const TaskId& task, const StepSpec& step, uint32_t waiting,
+    /// Notes that a task of the step has found no host. `longestWithoutRun` is the time for which the waiting task that
+    /// has been without a run for longest has had none.
+    void noteWaiting(const TaskId& task, const StepSpec& step, const StepState& stepState, Duration longestWithoutRun,
         const PlacementConstraints& constraints, const PlacementContext& context, const BestEffortLimits& limits);
 
     /// Notes that no task of the step waits for a host any more.
