--- a/tests/unit/ClusterSimulation.cpp
+++ b/tests/unit/ClusterSimulation.cpp
@@ -39,8 +39,10 @@
     }
 }
 
-void ClusterSimulation::submit(const std::string& job, const StepSpec& step)
+void ClusterSimulation::submit(const std::string& job, const StepSpec& step, std::optional<Duration> runTime)
 {
+    if (runTime)
+        m_runTimes.emplace(job, *runTime);
     QueuePolicy policy;
     policy.queue = "watches";
     policy.service = "service";
@@ -60,7 +62,8 @@
         if (reports)
             m_reportAt = m_clock.now() + m_settings.reportInterval;
         for (auto& [name, host] : m_hosts) {
-            endStoppedRuns(host);
+            endRuns(host, host.stopping, "stopped");
+            endRuns(host, host.ending, "done");
             if (reports && !host.lost && m_clock.now() >= host.silentUntil)
                 report(host);
         }
@@ -77,17 +80,34 @@
             continue;
         host.lost = true;
         host.runs.clear();
+        host.ending.clear();
         host.stopping.clear();
         m_dispatcher.hostDisconnected(name);
     }
 }
 
+void ClusterSimulation::restoreDataCentre(uint32_t dataCentre)
+{
+    for (auto& [name, host] : m_hosts) {
+        if (host.dataCentre != dataCentreName(dataCentre) || !host.lost)
+            continue;
+        host.lost = false;
+        ++host.life;
+        host.ends.clear();
+        host.endsReported = 0;
+        host.settledOrders = 0;
+        m_dispatcher.hostConnected(name);
+        report(host);
+    }
+}
+
 void ClusterSimulation::restartWorkersWithClosedDataCentre(uint32_t dataCentre)
 {
     m_dispatcher.setClosedDataCentres({ dataCentreName(dataCentre) });
     for (auto& [name, host] : m_hosts) {
         ++host.life;
         host.runs.clear();
+        host.ending.clear();
         host.stopping.clear();
         host.ends.clear();
         report(host);
@@ -115,6 +135,12 @@
     return count;
 }
 
+bool ClusterSimulation::isRunning(const std::string& job, uint32_t index) const
+{
+    const std::string task = TaskId { job, 0, 0, index }.text();
+    return std::ranges::any_of(m_hosts, [&](const auto& entry) { return entry.second.runs.contains(task); });
+}
+
 void ClusterSimulation::send(const std::string& name, HostOrders orders)
 {
     Host& host = m_hosts.at(name);
@@ -124,6 +150,8 @@
     for (const RunOrder& start : orders.starts) {
         host.runs.insert_or_assign(start.task, start);
         host.settledOrders = start.sequence;
+        if (const auto time = m_runTimes.find(parseTaskId(start.task)->job); time != m_runTimes.end())
+            host.ending.insert_or_assign(start.task, m_clock.now() + time->second);
     }
     for (const RunStop& stop : orders.stops) {
         if (!host.runs.contains(stop.task)
@@ -153,26 +181,56 @@
     m_dispatcher.hostReported(host.name, report);
 }
 
-void ClusterSimulation::endStoppedRuns(Host& host)
+void ClusterSimulation::endRuns(Host& host, std::map<std::string, Instant>& due, const std::string& reason)
 {
-    for (auto stop = host.stopping.begin(); stop != host.stopping.end();) {
-        if (m_clock.now() < stop->second) {
-            ++stop;
+    for (auto end = due.begin(); end != due.end();) {
+        if (m_clock.now() < end->second) {
+            ++end;
             continue;
         }
-        const uint32_t attempt = host.runs.at(stop->first).attempt;
-        host.ends.push_back({ ++host.endsReported, stop->first, attempt, "stopped", "" });
-        host.runs.erase(stop->first);
-        stop = host.stopping.erase(stop);
+        // A run may be stopped and end by itself; the first end counts.
+        if (const auto run = host.runs.find(end->first); run != host.runs.end()) {
+            host.ends.push_back({ ++host.endsReported, end->first, run->second.attempt, reason, "" });
+            host.runs.erase(run);
+        }
+        end = due.erase(end);
     }
 }
 
+Resources ClusterSimulation::freeOn(const Host& host) const
+{
+    Resources free = m_settings.capacity;
+    for (const auto& [task, order] : host.runs)
+        free = free - m_jobs.at(parseTaskId(task)->job).resources;
+    return free;
+}
+
 void ClusterSimulation::account()
 {
     for (const auto& [job, step] : m_jobs) {
         Service& service = m_services.at(job);
         service.offered += m_settings.cycle * step.tasks;
         service.received += m_settings.cycle * running(job);
+        if (step.longRunning)
+            accountWaits(job);
+    }
+}
+
+void ClusterSimulation::accountWaits(const std::string& job)
+{
+    const StepSpec& step = m_jobs.at(job);
+    uint32_t room = 0;
+    for (const auto& [name, host] : m_hosts) {
+        if (host.lost)
+            continue;
+        for (Resources free = freeOn(host); room < 2 && step.resources.fitsIn(free); free = free - step.resources)
+            ++room;
+    }
+    Service& service = m_services.at(job);
+    for (uint32_t index = 0; index < step.tasks; ++index) {
+        Duration& wait = m_waits[TaskId { job, 0, 0, index }.text()];
+        wait = room < 2 || isRunning(job, index) ? Duration { 0 } : wait + m_settings.cycle;
+        service.longestWaitWithRoom = std::max(service.longestWaitWithRoom, wait);
     }
 }
 
--- /dev/null
+++ b/tests/unit/HeldRoomTest.cpp
@@ -0,0 +1,78 @@
+#include "ClusterSimulation.h"
+
+#include <gtest/gtest.h>
+
+namespace hemlocklead {
+namespace {
+
+    using dispatch::StepSpec;
+
+    StepSpec tasks(uint32_t count, int64_t cpuMilli)
+    {
+        StepSpec step;
+        step.tasks = count;
+        step.resources = { cpuMilli, 100, 0 };
+        return step;
+    }
+
+    StepSpec lastingTasks(uint32_t count, int64_t cpuMilli)
+    {
+        StepSpec step = tasks(count, cpuMilli);
+        step.longRunning = true;
+        return step;
+    }
+
+    /// The users' bound: a task that lasts is without a run for no longer than this while there is room for it twice
+    /// over.
+    constexpr Duration maxWaitWithRoom { 3000 };
+
+    // Guards against room that stays empty (LOST, issue 53): it was held for large tasks for as long as the short tasks
+    // ran that these waited for, and younger tasks that fit were kept out.
+    TEST(HeldRoomTest, largeTasksWaitForLongRuns_youngerTaskFitsTwice_startsWithinThreeSeconds)
+    {
+        ClusterSimulation cluster { { .hosts = 3, .dataCentres = 1, .capacity = { 32'000, 128'000, 0 } } };
+        cluster.submit("short", tasks(3, 24'000), Duration { 40'000 });
+        cluster.run(Duration { 1000 });
+        cluster.submit("large", lastingTasks(9, 10'000));
+        cluster.run(Duration { 1000 });
+        cluster.submit("small", lastingTasks(3, 4000));
+        cluster.run(Duration { 10'000 });
+        EXPECT_EQ(cluster.running("small"), 3u);
+        EXPECT_LT(cluster.services().at("small").longestWaitWithRoom, maxWaitWithRoom);
+    }
+
+    // Guards against large tasks that starve because all room that is held for them is given to younger tasks.
+    TEST(HeldRoomTest, largeTaskWaitsForShortRuns_manyYoungerTasksWait_getsTheRoomOnceTheRunsHaveEnded)
+    {
+        ClusterSimulation cluster { { .hosts = 2, .dataCentres = 1, .capacity = { 32'000, 128'000, 0 } } };
+        cluster.submit("short", tasks(2, 20'000), Duration { 7000 });
+        cluster.run(Duration { 1000 });
+        cluster.submit("large", lastingTasks(4, 16'000));
+        cluster.run(Duration { 100 });
+        cluster.submit("small", lastingTasks(12, 8000));
+        cluster.run(Duration { 7000 });
+        EXPECT_GE(cluster.running("large"), 2u);
+        EXPECT_LT(cluster.services().at("small").longestWaitWithRoom, maxWaitWithRoom);
+    }
+
+    // Guards against a task that never gets a run (LOST, issue 53): tasks of a step were tried by index, so those
+    // before it got all room that came free, also when they had just lost their runs.
+    TEST(HeldRoomTest, roomForOneTaskComesFree_twoOfAStepWait_startsTheOneThatHasWaitedLonger)
+    {
+        ClusterSimulation cluster { { .hosts = 3, .dataCentres = 3, .capacity = { 16'000, 64'000, 0 } } };
+        cluster.submit("watch", lastingTasks(3, 16'000));
+        cluster.run(Duration { 2000 });
+        cluster.loseDataCentre(1);
+        cluster.run(Duration { 10'000 });
+        ASSERT_FALSE(cluster.isRunning("watch", 1));
+        cluster.loseDataCentre(0);
+        cluster.run(Duration { 10'000 });
+        ASSERT_FALSE(cluster.isRunning("watch", 0));
+        cluster.restoreDataCentre(0);
+        cluster.run(Duration { 1000 });
+        EXPECT_TRUE(cluster.isRunning("watch", 1));
+        EXPECT_FALSE(cluster.isRunning("watch", 0));
+    }
+
+} // namespace
+} // namespace hemlocklead
