--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -77,6 +77,10 @@
         Duration maxLateWait { 1500 };
         Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
                                        ///< long-running task. Most short tasks end within it.
+        /// A long-running task that fits twice over may use what is held for older tasks after this: the users allow 3
+        /// s without a run, of which a start takes up to 0.5 s. The last place that it fits in stays held, so that
+        /// large tasks do not starve.
+        Duration maxKeptOut { 2000 };
         /// A long-running step with a task that has found no host for this long gets room from steps of which a larger
         /// share is placed.
         Duration minWaitForRoom { 2000 };
@@ -215,6 +219,8 @@
     void placeLongRunningSteps(std::span<Job* const> jobs, const PlacementContext& context);
     StepPlacement beginPlacement(Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context);
     bool placeNextTask(StepPlacement& placement, const PlacementContext& context);
+    const HostState* chooseHostFor(StepPlacement& placement, const PlacementContext& context);
+    bool mayUseHeldRoom(StepPlacement& placement, const PlacementContext& context);
     void finishPlacement(const StepPlacement& placement, const PlacementContext& context);
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
     void openDueOccurrences(Job& job);
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -234,6 +234,44 @@
     return placement;
 }
 
+bool Dispatcher::mayUseHeldRoom(StepPlacement& placement, const PlacementContext& context)
+{
+    if (!placement.spec().longRunning)
+        return false;
+    StepState& state = placement.state();
+    constexpr uint32_t twice = 2;
+    if (countTasksThatFit(placement.spec(), placement.constraints, context, placement.limits, twice) < twice) {
+        state.keptOutSince.reset();
+        return false;
+    }
+    if (!state.keptOutSince)
+        state.keptOutSince = context.now;
+    return context.now - *state.keptOutSince >= m_settings.maxKeptOut;
+}
+
+const HostState* Dispatcher::chooseHostFor(StepPlacement& placement, const PlacementContext& context)
+{
+    const StepSpec& spec = placement.spec();
+    if (const HostState* host = chooseHost(spec, placement.constraints, context, placement.limits))
+        return host;
+    if (!mayUseHeldRoom(placement, context))
+        return nullptr;
+    PlacementConstraints constraints = placement.constraints;
+    constraints.mayUseHeldRoom = true;
+    const HostState* host = chooseHost(spec, constraints, context, placement.limits);
+    if (host) {
+        m_counters.add("held_room_used");
+        LogEvent(LogLevel::Info, "held_room_used")
+            .field("job", placement.job->id())
+            .field("occurrence", placement.occurrence)
+            .field("step", placement.step)
+            .field("host", host->name)
+            .field("held_for", host->heldFor)
+            .field("kept_out_ms", static_cast<int64_t>((context.now - *placement.state().keptOutSince).count()));
+    }
+    return host;
+}
+
 bool Dispatcher::placeNextTask(StepPlacement& placement, const PlacementContext& context)
 {
     Job& job = *placement.job;
@@ -244,7 +282,7 @@
         if (!task.needsPlacement() || context.now < task.notBefore)
             continue;
         placement.constraints.previousHost = task.host;
-        const HostState* host = chooseHost(spec, placement.constraints, context, placement.limits);
+        const HostState* host = chooseHostFor(placement, context);
         if (!host) {
             placement.foundNoHost = true;
             noteLackOfRoom(job, { job.id(), placement.occurrence, placement.step, 0 });
@@ -288,6 +326,7 @@
     } else {
         m_waitingSteps.noteSettled(firstTask);
         state.noRoomSince.reset();
+        state.keptOutSince.reset();
     }
     if (placement.placed.empty())
         return;
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -161,13 +161,35 @@
         return HostRejection::Processors;
     if (!needed.fitsIn(free))
         return HostRejection::Memory;
-    if ((step.longRunning || host.isHeldFromShortTasks) && !needed.fitsIn(host.available()))
+    const bool respectsHeldRoom = !constraints.mayUseHeldRoom && (step.longRunning || host.isHeldFromShortTasks);
+    if (respectsHeldRoom && !needed.fitsIn(host.available()))
         return HostRejection::Held;
     if (step.bestEffort && !isWithinLimits(limits, step, host, context))
         return HostRejection::BestEffortLimits;
     return HostRejection::None;
 }
 
+uint32_t countTasksThatFit(const StepSpec& step, PlacementConstraints constraints, const PlacementContext& context,
+    const BestEffortLimits& limits, uint32_t most)
+{
+    const Resources needed = reservation(step);
+    constraints.mayUseHeldRoom = true;
+    uint32_t count = 0;
+    for (const auto& [name, host] : context.hosts) {
+        if (rejectionOf(host, step, constraints, context, limits) != HostRejection::None)
+            continue;
+        Resources room = host.free();
+        while (count < most && needed.fitsIn(room) && withinHostLimit(step, constraints, host)) {
+            ++count;
+            ++constraints.tasksByHost[name];
+            room = room - needed;
+        }
+        if (count == most)
+            break;
+    }
+    return count;
+}
+
 std::vector<std::string> chooseHostsToHold(
     const StepSpec& step, PlacementConstraints constraints, const PlacementContext& context, uint32_t tasks)
 {
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -13,6 +13,7 @@
     std::string previousHost; ///< Host of the task's last run; chosen only if no other host qualifies.
     std::map<std::string, uint32_t> tasksByHost; ///< Placed tasks of the same step and occurrence.
     std::string rack; ///< Rack of the step's other tasks if the step prefers a single rack.
+    bool mayUseHeldRoom { false }; ///< Room that is held for other tasks counts as free.
 };
 
 /// The state of the cluster during one placement.
@@ -76,6 +77,10 @@
 HostRejection rejectionOf(const HostState& host, const StepSpec& step, const PlacementConstraints& constraints,
     const PlacementContext& context, const BestEffortLimits& limits);
 
+/// How many tasks of the step fit on the hosts now if no room were held for others, at most `most`.
+uint32_t countTasksThatFit(const StepSpec& step, PlacementConstraints constraints, const PlacementContext& context,
+    const BestEffortLimits& limits, uint32_t most);
+
 /// Chooses hosts on which tasks of a long-running step that fit nowhere now will fit once the short runs there have
 /// ended; one element a task, at most `tasks`, a host as often as tasks fit on it. The hosts that lack least come
 /// first.
--- a/src/dispatch/WaitingStepLog.cpp
+++ b/src/dispatch/WaitingStepLog.cpp
@@ -21,7 +21,8 @@
 }
 
 void WaitingStepLog::noteWaiting(const TaskId& task, const StepSpec& step, const StepState& stepState,
-    Duration longestWithoutRun, const PlacementConstraints& constraints, const PlacementContext& context, const BestEffortLimits& limits)
+    Duration longestWithoutRun, const PlacementConstraints& constraints, const PlacementContext& context,
+    const BestEffortLimits& limits)
 {
     const WaitingStep begun { context.now, context.now + m_settings.delay, context.now };
     WaitingStep& state = m_steps.try_emplace(keyOf(task), begun).first->second;
