--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -161,7 +161,8 @@
         uint32_t step { 0 };
         PlacementConstraints constraints;
         BestEffortLimits limits;
-        uint32_t nextIndex { 0 }; ///< Tasks before this one are placed or not due.
+        std::vector<uint32_t> due; ///< Indices of the tasks to be placed, in this order.
+        size_t next { 0 }; ///< In `due`; the tasks before it are placed.
         std::string placed; ///< Placed tasks with their hosts, as logged.
         double newlyOver { 0 }; ///< See newlyOverTarget().
         bool foundNoHost { false };
@@ -219,6 +220,7 @@
     void placeLongRunningSteps(std::span<Job* const> jobs, const PlacementContext& context);
     StepPlacement beginPlacement(Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context);
     bool placeNextTask(StepPlacement& placement, const PlacementContext& context);
+    std::vector<uint32_t> dueTasks(const Job& job, const StepSpec& spec, const StepState& state, Instant now) const;
     const HostState* chooseHostFor(StepPlacement& placement, const PlacementContext& context);
     bool mayUseHeldRoom(StepPlacement& placement, const PlacementContext& context);
     void finishPlacement(const StepPlacement& placement, const PlacementContext& context);
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -231,9 +231,25 @@
     placement.step = step;
     placement.constraints = constraintsOf(job, job.occurrence(occurrence).steps[step], job.spec().steps[step]);
     placement.limits = bestEffortLimits(job, occurrence, step, context.now);
+    placement.due = dueTasks(job, placement.spec(), placement.state(), context.now);
     return placement;
 }
 
+std::vector<uint32_t> Dispatcher::dueTasks(
+    const Job& job, const StepSpec& spec, const StepState& state, Instant now) const
+{
+    std::vector<uint32_t> due;
+    for (uint32_t index = 0; index < state.tasks.size(); ++index) {
+        if (state.tasks[index].needsPlacement() && now >= state.tasks[index].notBefore)
+            due.push_back(index);
+    }
+    // Users are owed each long-running task, so none may always come last when room comes free for one at a time.
+    if (spec.longRunning) {
+        std::ranges::stable_sort(due, {}, [&](uint32_t index) { return withoutRunSince(job, state.tasks[index]); });
+    }
+    return due;
+}
+
 bool Dispatcher::mayUseHeldRoom(StepPlacement& placement, const PlacementContext& context)
 {
     if (!placement.spec().longRunning)
@@ -274,32 +290,30 @@
 
 bool Dispatcher::placeNextTask(StepPlacement& placement, const PlacementContext& context)
 {
+    if (placement.next == placement.due.size())
+        return false;
     Job& job = *placement.job;
     const StepSpec& spec = placement.spec();
     StepState& state = placement.state();
-    for (; placement.nextIndex < state.tasks.size(); ++placement.nextIndex) {
-        TaskState& task = state.tasks[placement.nextIndex];
-        if (!task.needsPlacement() || context.now < task.notBefore)
-            continue;
-        placement.constraints.previousHost = task.host;
-        const HostState* host = chooseHostFor(placement, context);
-        if (!host) {
-            placement.foundNoHost = true;
-            noteLackOfRoom(job, { job.id(), placement.occurrence, placement.step, 0 });
-            holdHosts(job, state, spec, placement.constraints, context);
-            return false;
-        }
-        ++placement.constraints.tasksByHost[host->name];
-        if (spec.bestEffort) {
-            placement.newlyOver += newlyOverTarget(spec, *host, m_interference);
-            m_bound.notePlaced(boundEffects(spec, *host));
-        }
-        const uint32_t index = placement.nextIndex++;
-        startTask(job, { job.id(), placement.occurrence, placement.step, index }, task, *host);
-        placement.placed += (placement.placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
-        return true;
+    const uint32_t index = placement.due[placement.next];
+    TaskState& task = state.tasks[index];
+    placement.constraints.previousHost = task.host;
+    const HostState* host = chooseHostFor(placement, context);
+    if (!host) {
+        placement.foundNoHost = true;
+        noteLackOfRoom(job, { job.id(), placement.occurrence, placement.step, 0 });
+        holdHosts(job, state, spec, placement.constraints, context);
+        return false;
+    }
+    ++placement.next;
+    ++placement.constraints.tasksByHost[host->name];
+    if (spec.bestEffort) {
+        placement.newlyOver += newlyOverTarget(spec, *host, m_interference);
+        m_bound.notePlaced(boundEffects(spec, *host));
     }
-    return false;
+    startTask(job, { job.id(), placement.occurrence, placement.step, index }, task, *host);
+    placement.placed += (placement.placed.empty() ? "" : ",") + std::to_string(index) + ":" + host->name;
+    return true;
 }
 
 Duration Dispatcher::longestTimeWithoutRun(const Job& job, const StepState& state, Instant now) const
