--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -77,10 +77,9 @@
         Duration maxLateWait { 1500 };
         Duration maxHoldTime { 3000 }; ///< After this, short tasks may no longer use the room that is held for a
                                        ///< long-running task. Most short tasks end within it.
-        /// A long-running task that fits twice over may use what is held for older tasks after this: the users allow 3
-        /// s without a run, of which a start takes up to 0.5 s. The last place that it fits in stays held, so that
-        /// large tasks do not starve.
-        Duration maxKeptOut { 2000 };
+        /// A long-running task that has been without a run for longer may use what is held for others if it fits twice
+        /// over: the users allow 3 s, of which a start takes up to 0.5 s. The last place that it fits in stays held.
+        Duration maxTimeWithoutRun { 2000 };
         /// A long-running step with a task that has found no host for this long gets room from steps of which a larger
         /// share is placed.
         Duration minWaitForRoom { 2000 };
@@ -222,7 +221,9 @@
     bool placeNextTask(StepPlacement& placement, const PlacementContext& context);
     std::vector<uint32_t> dueTasks(const Job& job, const StepSpec& spec, const StepState& state, Instant now) const;
     const HostState* chooseHostFor(StepPlacement& placement, const PlacementContext& context);
-    bool mayUseHeldRoom(StepPlacement& placement, const PlacementContext& context);
+    bool mayUseHeldRoom(const StepPlacement& placement, const PlacementContext& context) const;
+    /// Since when the next task has been without a run; the end of time if there is none.
+    Instant nextWithoutRunSince(const StepPlacement& placement) const;
     void finishPlacement(const StepPlacement& placement, const PlacementContext& context);
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
     void openDueOccurrences(Job& job);
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -88,6 +88,9 @@
         const StepState& state = placement.state();
         while (state.placed < share * static_cast<double>(state.tasks.size()) && placeNextTask(placement, context)) { }
     }
+    // Of the rest, the task that has been without a run for longest comes first, so that no step always comes last.
+    std::ranges::stable_sort(
+        waiting, {}, [&](const StepPlacement& placement) { return nextWithoutRunSince(placement); });
     for (StepPlacement& placement : waiting) {
         while (!placement.foundNoHost && placeNextTask(placement, context)) { }
         finishPlacement(placement, context);
@@ -250,19 +253,21 @@
     return due;
 }
 
-bool Dispatcher::mayUseHeldRoom(StepPlacement& placement, const PlacementContext& context)
+bool Dispatcher::mayUseHeldRoom(const StepPlacement& placement, const PlacementContext& context) const
 {
-    if (!placement.spec().longRunning)
+    const TaskState& task = placement.state().tasks[placement.due[placement.next]];
+    if (!placement.spec().longRunning
+        || context.now - withoutRunSince(*placement.job, task) < m_settings.maxTimeWithoutRun)
         return false;
-    StepState& state = placement.state();
     constexpr uint32_t twice = 2;
-    if (countTasksThatFit(placement.spec(), placement.constraints, context, placement.limits, twice) < twice) {
-        state.keptOutSince.reset();
-        return false;
-    }
-    if (!state.keptOutSince)
-        state.keptOutSince = context.now;
-    return context.now - *state.keptOutSince >= m_settings.maxKeptOut;
+    return countTasksThatFit(placement.spec(), placement.constraints, context, placement.limits, twice) == twice;
+}
+
+Instant Dispatcher::nextWithoutRunSince(const StepPlacement& placement) const
+{
+    if (placement.next == placement.due.size())
+        return Instant::max();
+    return withoutRunSince(*placement.job, placement.state().tasks[placement.due[placement.next]]);
 }
 
 const HostState* Dispatcher::chooseHostFor(StepPlacement& placement, const PlacementContext& context)
@@ -276,6 +281,8 @@
     constraints.mayUseHeldRoom = true;
     const HostState* host = chooseHost(spec, constraints, context, placement.limits);
     if (host) {
+        const TaskState& task = placement.state().tasks[placement.due[placement.next]];
+        const Duration withoutRun = context.now - withoutRunSince(*placement.job, task);
         m_counters.add("held_room_used");
         LogEvent(LogLevel::Info, "held_room_used")
             .field("job", placement.job->id())
@@ -283,7 +290,7 @@
             .field("step", placement.step)
             .field("host", host->name)
             .field("held_for", host->heldFor)
-            .field("kept_out_ms", static_cast<int64_t>((context.now - *placement.state().keptOutSince).count()));
+            .field("without_run_ms", static_cast<int64_t>(withoutRun.count()));
     }
     return host;
 }
@@ -340,7 +347,6 @@
     } else {
         m_waitingSteps.noteSettled(firstTask);
         state.noRoomSince.reset();
-        state.keptOutSince.reset();
     }
     if (placement.placed.empty())
         return;
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -233,7 +233,9 @@
 {
     const Instant now = m_clock.now();
     job.noteEvent(now);
-    task.lastRunAt = now;
+    // The end of a run that was declared lost may be reported long after it.
+    if (task.phase == TaskPhase::Placed)
+        task.lastRunAt = now;
     noteRunBegan(job);
     markDirty(job);
     if (!end.checkpoint.empty())
--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -13,9 +13,11 @@
     constexpr double minIdleShare = 0.75;
 
     /// Penalties are in thousandths of a core and outweigh any difference in free processors. They are ordered by the
-    /// cost of a wrong choice: another failed run on the previous host, or a run slowed down by remote data.
+    /// cost of a wrong choice: another failed run on the previous host, a run slowed down by remote data, or a held
+    /// host that is given away.
     constexpr int64_t previousHostPenalty = 4'000'000;
     constexpr int64_t remotePenalty = 2'000'000;
+    constexpr int64_t heldHostPenalty = 1'000'000;
 
     /// Idle thousandths of a core that offset one latency-critical task newly over its target: about half a host. Such
     /// a task costs its users four times its value, a best-effort task at half speed loses half of its own.
@@ -113,6 +115,9 @@
         }
         if (host.name == constraints.previousHost)
             cost += previousHostPenalty;
+        // The task that the host is held for is about to get its room.
+        if (constraints.mayUseHeldRoom && host.isHeldFromShortTasks)
+            cost += heldHostPenalty;
         const std::string& rack = step.dataRack.empty() ? constraints.rack : step.dataRack;
         if (!rack.empty() && host.last.rack != rack)
             cost += remotePenalty;
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -60,10 +60,6 @@
     /// Since when hosts are held for the waiting tasks. Not recorded; only the owner maintains it.
     std::optional<Instant> heldSince {};
 
-    /// Since when a waiting task has found no host although it fits twice over beside what is held for older tasks. Not
-    /// recorded; only the owner maintains it.
-    std::optional<Instant> keptOutSince {};
-
     /// Since when a waiting task has found no host, nor one that only short runs occupy. Not recorded; only the owner
     /// maintains it.
     std::optional<Instant> noRoomSince {};
--- a/tests/unit/ClusterSimulation.cpp
+++ b/tests/unit/ClusterSimulation.cpp
@@ -86,15 +86,29 @@
     }
 }
 
+void ClusterSimulation::cutOffDataCentre(uint32_t dataCentre)
+{
+    for (auto& [name, host] : m_hosts) {
+        if (host.dataCentre == dataCentreName(dataCentre))
+            host.lapsed = host.runs;
+    }
+    loseDataCentre(dataCentre);
+}
+
 void ClusterSimulation::restoreDataCentre(uint32_t dataCentre)
 {
     for (auto& [name, host] : m_hosts) {
         if (host.dataCentre != dataCentreName(dataCentre) || !host.lost)
             continue;
         host.lost = false;
-        ++host.life;
-        host.ends.clear();
-        host.endsReported = 0;
+        for (const auto& [task, order] : host.lapsed)
+            host.ends.push_back({ ++host.endsReported, task, order.attempt, "lapsed", "" });
+        if (host.lapsed.empty()) {
+            ++host.life;
+            host.ends.clear();
+            host.endsReported = 0;
+        }
+        host.lapsed.clear();
         host.settledOrders = 0;
         m_dispatcher.hostConnected(name);
         report(host);
--- a/tests/unit/ClusterSimulation.h
+++ b/tests/unit/ClusterSimulation.h
@@ -49,7 +49,11 @@
     /// The data centre is lost: its hosts are gone with all that runs there.
     void loseDataCentre(uint32_t dataCentre);
 
-    /// The hosts of a lost data centre are back, with workers that run nothing.
+    /// The data centre is cut off, and the leases of all that runs there lapse.
+    void cutOffDataCentre(uint32_t dataCentre);
+
+    /// The hosts of a lost data centre are back with new workers, those of one that was cut off with the ends of the
+    /// lapsed runs. Nothing runs there.
     void restoreDataCentre(uint32_t dataCentre);
 
     /// All workers restart at once, and the data centre is closed to new runs.
@@ -74,6 +78,7 @@
         bool lost { false };
         Instant silentUntil {};
         std::map<std::string, RunOrder> runs; ///< By task.
+        std::map<std::string, RunOrder> lapsed; ///< By task: runs of which the owner has not heard since a cut.
         std::map<std::string, Instant> ending; ///< By task: when its run ends by itself.
         std::map<std::string, Instant> stopping; ///< By task: when its run ends because it is stopped.
         std::vector<RunEnd> ends;
--- a/tests/unit/HeldRoomTest.cpp
+++ b/tests/unit/HeldRoomTest.cpp
@@ -74,5 +74,24 @@
         EXPECT_FALSE(cluster.isRunning("watch", 0));
     }
 
+    // Guards against a task that counts as having just lost its run because its host, which was cut off, reports the
+    // end late (LOST, issue 53).
+    TEST(HeldRoomTest, hostIsBackAndReportsALapsedRun_twoOfAStepWait_startsTheOneThatHasWaitedLonger)
+    {
+        ClusterSimulation cluster { { .hosts = 3, .dataCentres = 3, .capacity = { 16'000, 64'000, 0 } } };
+        cluster.submit("watch", lastingTasks(3, 16'000));
+        cluster.run(Duration { 2000 });
+        cluster.cutOffDataCentre(1);
+        cluster.run(Duration { 10'000 });
+        cluster.loseDataCentre(0);
+        cluster.run(Duration { 10'000 });
+        ASSERT_FALSE(cluster.isRunning("watch", 0));
+        ASSERT_FALSE(cluster.isRunning("watch", 1));
+        cluster.restoreDataCentre(1);
+        cluster.run(Duration { 1000 });
+        EXPECT_TRUE(cluster.isRunning("watch", 1));
+        EXPECT_FALSE(cluster.isRunning("watch", 0));
+    }
+
 } // namespace
 } // namespace hemlocklead
