--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -145,6 +145,7 @@
     forgetHostSpeeds();
     m_waitingSteps.clear();
     m_roomTransfers.clear();
+    m_memoryTransfers.clear();
 }
 
 void Dispatcher::registryReset() { deactivate(); }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -83,6 +83,11 @@
         /// A long-running step with a task that has found no host for this long gets room from steps of which a larger
         /// share is placed.
         Duration minWaitForRoom { 2000 };
+        /// A long-running task gets the memory of best-effort tasks after this: with the time that a stop takes, it
+        /// still starts within the 3 s that the users allow.
+        Duration minWaitForMemory { 1000 };
+        /// Memory that was made free stays held for its receiver for as long.
+        Duration maxMemoryTransferTime { 4000 };
         uint32_t maxStopsForRoom { 4 }; ///< Most runs that are being stopped at once to make room for one step.
         Duration moveTime { 1500 }; ///< Time that stopping a run and resuming it elsewhere takes. A best-effort run
                                     ///< with checkpoints that has been paused for as long is moved.
@@ -167,6 +172,7 @@
         bool foundNoHost { false };
 
         const StepSpec& spec() const { return job->spec().steps[step]; }
+        TaskId firstTask() const { return { job->id(), occurrence, step, 0 }; }
         StepState& state() const { return job->occurrence(occurrence).steps[step]; }
     };
 
@@ -313,6 +319,10 @@
     SharingStep sharingStep(const Job& job, uint32_t occurrence, uint32_t step) const;
     /// Whether a host that is out of touch for the moment may have room for a task of the step.
     bool mayFindRoomSoon(const StepSpec& step) const;
+    void takeMemory(const StepPlacement& placement, const PlacementContext& context);
+    void dropEndedMemoryTransfers();
+    bool mayStopForMemory(const HostRun& run) const;
+    const HostState* hostWithTransferredMemory(const StepPlacement& placement, const PlacementContext& context);
     void makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context);
     void startTask(Job& job, const TaskId& id, TaskState& task, const HostState& host);
     void commit();
@@ -356,6 +366,7 @@
     WaitingStepLog m_waitingSteps;
     /// The runs that are being stopped to make room, by TaskId::text().
     std::map<std::string, RoomTransfer> m_roomTransfers;
+    std::map<std::string, MemoryTransfer> m_memoryTransfers; ///< By host.
     std::set<std::string> m_closedDataCentres;
     bool m_knowsClosedDataCentres { false };
     std::map<std::string, QueuePolicy> m_policies;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -275,6 +275,8 @@
     const StepSpec& spec = placement.spec();
     if (const HostState* host = chooseHost(spec, placement.constraints, context, placement.limits))
         return host;
+    if (const HostState* host = hostWithTransferredMemory(placement, context))
+        return host;
     if (!mayUseHeldRoom(placement, context))
         return nullptr;
     PlacementConstraints constraints = placement.constraints;
@@ -310,6 +312,7 @@
         placement.foundNoHost = true;
         noteLackOfRoom(job, { job.id(), placement.occurrence, placement.step, 0 });
         holdHosts(job, state, spec, placement.constraints, context);
+        takeMemory(placement, context);
         return false;
     }
     ++placement.next;
@@ -347,6 +350,7 @@
     } else {
         m_waitingSteps.noteSettled(firstTask);
         state.noRoomSince.reset();
+        state.noMemorySince.reset();
     }
     if (placement.placed.empty())
         return;
--- a/src/dispatch/DispatcherRoom.cpp
+++ b/src/dispatch/DispatcherRoom.cpp
@@ -106,6 +106,94 @@
         host.heldFor = receiver->id();
         host.isHeldFromShortTasks = true;
     }
+    dropEndedMemoryTransfers();
+    for (const auto& [name, transfer] : m_memoryTransfers) {
+        HostState& host = m_hosts.host(name);
+        host.held = host.held + m_registry.find(transfer.receiver.job)->spec().steps[transfer.receiver.step].resources;
+        host.heldFor = transfer.receiver.job;
+        host.isHeldFromShortTasks = true;
+    }
+}
+
+void Dispatcher::dropEndedMemoryTransfers()
+{
+    const Instant now = m_clock.now();
+    std::erase_if(m_memoryTransfers, [&](const auto& entry) {
+        const MemoryTransfer& transfer = entry.second;
+        Job* job = m_openJobs.contains(transfer.receiver.job) ? m_registry.find(transfer.receiver.job) : nullptr;
+        if (!job || now - transfer.since >= m_settings.maxMemoryTransferTime)
+            return true;
+        return job->occurrence(transfer.receiver.occurrence).steps[transfer.receiver.step].waiting() == 0;
+    });
+}
+
+bool Dispatcher::mayStopForMemory(const HostRun& run) const
+{
+    Job* job = m_registry.find(run.task.job);
+    if (!job || !run.bestEffort || run.longRunning || run.stopping || !run.seen)
+        return false;
+    const StepSpec& step = job->spec().steps[run.task.step];
+    const TaskState* task = job->find(run.task);
+    // Without checkpoints a stop would discard the progress, and the end of one member breaks the run of a gang.
+    return step.checkpoints && !step.gang && task && task->moves < m_settings.maxMoves;
+}
+
+const HostState* Dispatcher::hostWithTransferredMemory(const StepPlacement& placement, const PlacementContext& context)
+{
+    PlacementConstraints constraints = placement.constraints;
+    constraints.mayUseHeldRoom = true;
+    const auto isReady = [&](const auto& entry) {
+        return entry.second.receiver == placement.firstTask()
+            && rejectionOf(m_hosts.host(entry.first), placement.spec(), constraints, context, placement.limits)
+            == HostRejection::None;
+    };
+    const auto ready = std::ranges::find_if(m_memoryTransfers, isReady);
+    if (ready == m_memoryTransfers.end())
+        return nullptr;
+    const HostState& host = m_hosts.host(ready->first);
+    m_memoryTransfers.erase(ready);
+    return &host;
+}
+
+void Dispatcher::takeMemory(const StepPlacement& placement, const PlacementContext& context)
+{
+    if (!reservesProcessorsForLong(placement.spec()))
+        return;
+    std::set<std::string> excluded;
+    uint32_t transfers = 0;
+    for (const auto& [task, transfer] : m_roomTransfers)
+        excluded.insert(transfer.host);
+    for (const auto& [host, transfer] : m_memoryTransfers) {
+        excluded.insert(host);
+        transfers += transfer.receiver == placement.firstTask() ? 1 : 0;
+    }
+    StepState& state = placement.state();
+    const auto mayStop = [this](const HostRun& run) { return mayStopForMemory(run); };
+    const std::optional<RunsToStop> chosen
+        = chooseRunsToStopForMemory(placement.spec(), placement.constraints, context, mayStop, excluded);
+    if (!chosen) {
+        state.noMemorySince.reset();
+        return;
+    }
+    if (!state.noMemorySince)
+        state.noMemorySince = context.now;
+    if (context.now - *state.noMemorySince < m_settings.minWaitForMemory
+        || transfers >= std::min(state.waiting(), m_settings.maxStopsForRoom))
+        return;
+    HostState& host = m_hosts.host(chosen->host);
+    for (const std::string& name : chosen->tasks) {
+        HostRun& run = host.runs.at(name);
+        LogEvent(LogLevel::Info, "run_stopped_for_memory")
+            .field("host", host.name)
+            .field("task", name)
+            .field("attempt", run.attempt)
+            .field("memory_mib", run.reserved.memoryMib)
+            .field("receiver", placement.job->id());
+        m_counters.add("runs_stopped_for_memory");
+        ++m_registry.find(run.task.job)->find(run.task)->moves;
+        stopRun(host, run);
+    }
+    m_memoryTransfers.emplace(host.name, MemoryTransfer { placement.firstTask(), context.now });
 }
 
 void Dispatcher::makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context)
--- a/src/dispatch/JobState.h
+++ b/src/dispatch/JobState.h
@@ -60,6 +60,10 @@
     /// Since when hosts are held for the waiting tasks. Not recorded; only the owner maintains it.
     std::optional<Instant> heldSince {};
 
+    /// Since when a waiting task has found no host and hosts with free processors lack memory. Not recorded; only the
+    /// owner maintains it.
+    std::optional<Instant> noMemorySince {};
+
     /// Since when a waiting task has found no host, nor one that only short runs occupy. Not recorded; only the owner
     /// maintains it.
     std::optional<Instant> noRoomSince {};
--- a/src/dispatch/RoomSharing.cpp
+++ b/src/dispatch/RoomSharing.cpp
@@ -71,4 +71,31 @@
     return best;
 }
 
+std::optional<RunsToStop> chooseRunsToStopForMemory(const StepSpec& step, PlacementConstraints constraints,
+    const PlacementContext& context, const std::function<bool(const HostRun&)>& mayStop,
+    const std::set<std::string>& excluded)
+{
+    constraints.mayUseHeldRoom = true;
+    std::optional<RunsToStop> best;
+    for (const auto& [name, host] : context.hosts) {
+        if (excluded.contains(name) || rejectionOf(host, step, constraints, context, {}) != HostRejection::Memory)
+            continue;
+        std::vector<const HostRun*> runs;
+        for (const auto& [task, run] : host.runs) {
+            if (mayStop(run))
+                runs.push_back(&run);
+        }
+        std::ranges::sort(runs, std::greater {}, [](const HostRun* run) { return run->reserved.memoryMib; });
+        RunsToStop chosen { name, {} };
+        Resources room = host.free();
+        for (auto run = runs.begin(); run != runs.end() && !step.resources.fitsIn(room); ++run) {
+            room = room + (*run)->reserved;
+            chosen.tasks.push_back((*run)->task.text());
+        }
+        if (step.resources.fitsIn(room) && (!best || chosen.tasks.size() < best->tasks.size()))
+            best = std::move(chosen);
+    }
+    return best;
+}
+
 } // namespace hemlocklead::dispatch
--- a/src/dispatch/RoomSharing.h
+++ b/src/dispatch/RoomSharing.h
@@ -52,6 +52,25 @@
     TaskId receiver; ///< The first task of the step that needs the room.
 };
 
+/// The memory of best-effort runs that are being stopped on a host, which a long-running task gets.
+struct MemoryTransfer {
+    TaskId receiver; ///< The first task of the step that needs the memory.
+    Instant since {};
+};
+
+/// Best-effort runs to be stopped so that a task gets their memory.
+struct RunsToStop {
+    std::string host;
+    std::vector<std::string> tasks;
+};
+
+/// Chooses the host on which the fewest best-effort runs have to end so that a task of the long-running step, which has
+/// the processors there, gets the memory. `mayStop` tells which runs may be stopped. Hosts in `excluded` are not
+/// considered.
+std::optional<RunsToStop> chooseRunsToStopForMemory(const StepSpec& step, PlacementConstraints constraints,
+    const PlacementContext& context, const std::function<bool(const HostRun&)>& mayStop,
+    const std::set<std::string>& excluded);
+
 /// A run to be stopped to make room.
 struct RunToStop {
     std::string host;
--- a/tests/unit/HeldRoomTest.cpp
+++ b/tests/unit/HeldRoomTest.cpp
@@ -55,6 +55,26 @@
         EXPECT_LT(cluster.services().at("small").longestWaitWithRoom, maxWaitWithRoom);
     }
 
+    // Guards against best-effort work that keeps tasks that last out of hosts with free processors by its memory (LOST,
+    // issue 53).
+    TEST(HeldRoomTest, bestEffortTasksUseAllMemory_lastingTaskArrives_startsWithinThreeSeconds)
+    {
+        ClusterSimulation cluster { { .hosts = 2, .dataCentres = 1, .capacity = { 32'000, 128'000, 0 } } };
+        StepSpec filler = tasks(8, 2000);
+        filler.bestEffort = true;
+        filler.checkpoints = true;
+        filler.resources.memoryMib = 32'000;
+        cluster.submit("filler", filler);
+        cluster.run(Duration { 3000 });
+        ASSERT_EQ(cluster.running("filler"), 8u);
+        StepSpec watch = lastingTasks(1, 8000);
+        watch.resources.memoryMib = 40'000;
+        cluster.submit("watch", watch);
+        cluster.run(maxWaitWithRoom);
+        EXPECT_EQ(cluster.running("watch"), 1u);
+        EXPECT_EQ(cluster.services().at("filler").stops, 2u);
+    }
+
     // Guards against a task that never gets a run (LOST, issue 53): tasks of a step were tried by index, so those
     // before it got all room that came free, also when they had just lost their runs.
     TEST(HeldRoomTest, roomForOneTaskComesFree_twoOfAStepWait_startsTheOneThatHasWaitedLonger)
