Describe runs again to an agent that connects again

Cause: the owner sent the description of a run only when it saw the run for the first time, and HostRun::seen outlives the connection. A new process of an agent therefore knew none of these runs, and neither paused the best-effort ones nor reported the tails of the latency-critical ones.

The owner now notes per connection which runs it has described.

DispatcherTest.host_connectedAgain_runsSeenBeforeAreDescribedOncePerConnection failed before (0 descriptions) and passes now.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -198,6 +198,9 @@
     host.nextSequence = 1;
     host.outbox = {};
     host.sentInterference.clear();
+    // The agent may be a new process, which knows no runs.
+    for (auto& [task, run] : host.runs)
+        run.described = false;
 }
 
 void Dispatcher::hostDisconnected(const std::string& name)
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -356,8 +356,10 @@
         run = host.runs.find(row.task);
     }
     HostRun& known = run->second;
-    if (!known.seen && known.stage == HostRun::Stage::Adopted)
+    if (!known.described && known.stage == HostRun::Stage::Adopted) {
         host.outbox.known.push_back(makeRunOrder(*job, *id, *task));
+        known.described = true;
+    }
     if (!known.seen)
         known.seenAt = m_clock.now();
     known.seen = true;
--- a/src/dispatch/HostRegistry.h
+++ b/src/dispatch/HostRegistry.h
@@ -34,6 +34,7 @@
     std::string image;
     bool seen { false }; ///< The worker has reported it as running.
     Instant seenAt {}; ///< When it was first reported as running.
+    bool described { false }; ///< Its description has been sent on the current connection.
     int64_t tailPerMille { 0 }; ///< Last reported tail latency, thousandths of its target; 0 while unknown.
     std::optional<Instant> fullRunOrderedAt; ///< When this owner ordered the run, if it starts without a checkpoint.
     std::optional<Instant> pausedSince; ///< Since when the agent has reported it as paused.
--- a/tests/support/DispatcherEntry.h
+++ b/tests/support/DispatcherEntry.h
@@ -20,6 +20,8 @@
             starts.emplace_back(host, start);
         for (const RunStop& stop : orders.stops)
             stops.emplace_back(host, stop);
+        for (const RunOrder& run : orders.known)
+            described.emplace_back(host, run);
         for (const RunPause& pause : orders.pauses)
             pauses.emplace_back(host, pause);
         if (!orders.starts.empty())
@@ -33,6 +35,7 @@
 
     std::vector<std::pair<std::string, RunOrder>> starts;
     std::vector<std::pair<std::string, RunStop>> stops;
+    std::vector<std::pair<std::string, RunOrder>> described; ///< Runs that were known to be running.
     std::vector<std::pair<std::string, RunPause>> pauses;
     std::map<std::string, uint64_t> acknowledged;
     int64_t lastStartsValidMs { 0 }; ///< Of the last message with starts.
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -592,6 +592,38 @@
         EXPECT_EQ(entry.sender.starts[1].second.attempt, 2u);
     }
 
+    // Guards against interference after a restart of an agent: the new process got no descriptions of runs that the
+    // owner had seen on an earlier connection, so it neither paused best-effort runs nor reported tail latencies.
+    TEST_F(DispatcherTest, host_connectedAgain_runsSeenBeforeAreDescribedOncePerConnection)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        serveUsers(entry);
+        HostReport report = servingReport("host-1", "busy", 500);
+        report.settledOrders = 2;
+        entry.dispatcher.hostReported("host-1", report);
+        run(entry, Duration { 100 });
+        EXPECT_TRUE(entry.sender.described.empty());
+        report.settledOrders = 0;
+        for (size_t connection = 1; connection <= 2; ++connection) {
+            entry.dispatcher.hostDisconnected("host-1");
+            entry.dispatcher.hostConnected("host-1");
+            for (int i = 0; i < 3; ++i) {
+                entry.dispatcher.hostReported("host-1", report);
+                run(entry, Duration { 100 });
+            }
+            ASSERT_EQ(entry.sender.described.size(), 2 * connection);
+            for (size_t index = 0; index < 2; ++index) {
+                const auto& [host, order] = entry.sender.described[2 * (connection - 1) + index];
+                EXPECT_EQ(host, "host-1");
+                EXPECT_EQ(order.task, "busy.0.0." + std::to_string(index));
+                EXPECT_EQ(order.attempt, 1u);
+                EXPECT_EQ(order.image, "serve");
+                EXPECT_EQ(order.tailTargetMs, 100);
+            }
+        }
+        EXPECT_EQ(entry.sender.starts.size(), 4u);
+    }
+
     // Guards against two runs at once of all tasks of a host: its agent reported to the new owner and restarted, and
     // the former owner, which the new one cannot see, extended the leases through the new process (issue 31).
     TEST_F(DispatcherTest, hostLost_workerNotKnownToRefuseFormerOwner_tasksWaitForTheFormerOwnersLeases)
