--- a/src/coordination/StartEjector.cpp
+++ b/src/coordination/StartEjector.cpp
@@ -13,6 +13,7 @@
 {
     Record& record = m_records[host];
     ++record.failuresInRow;
+    record.lastFailureAt = now;
     record.jobs.insert(job);
     const bool failsEverything = record.failuresInRow >= m_settings.failures && record.jobs.size() >= m_settings.jobs;
     if (!failsEverything && !record.onProbation)
@@ -25,6 +26,13 @@
 
 void StartEjector::noteSuccess(const std::string& host) { m_records.erase(host); }
 
+void StartEjector::noteAtWork(const std::string& host, Instant seenAt)
+{
+    const auto found = m_records.find(host);
+    if (found != m_records.end() && seenAt > found->second.lastFailureAt)
+        noteSuccess(host);
+}
+
 void StartEjector::notePlaced(const std::string& host, Instant now)
 {
     const auto found = m_records.find(host);
@@ -63,6 +71,7 @@
     if (!mayEjectMore(hosts, now))
         return;
     Record& record = m_records[host];
+    record.lastFailureAt = now;
     record.onProbation = true;
     record.until = now + std::clamp(remaining, Duration { 0 }, m_settings.ejection);
 }
--- a/src/coordination/StartEjector.h
+++ b/src/coordination/StartEjector.h
@@ -27,6 +27,10 @@
     /// Records a task that started and ended successfully, which clears the failures and the probation of the host.
     void noteSuccess(const std::string& host);
 
+    /// Records that a task that was first seen running at `seenAt` is at work. Counts as a success if the host has
+    /// failed no task since then: a task that runs until its job is cancelled never ends successfully.
+    void noteAtWork(const std::string& host, Instant seenAt);
+
     /// Records that a task is placed on the host. After an ejection this task is the probe: no further task is placed
     /// on the host until the probe has ended or another ejection time has passed.
     void notePlaced(const std::string& host, Instant now);
@@ -50,6 +54,7 @@
     struct Record {
         int failuresInRow { 0 };
         std::set<std::string> jobs;
+        Instant lastFailureAt; ///< For an adopted ejection, when it was adopted.
         bool onProbation { false }; ///< Ejected, with no successful task since.
         Instant until; ///< While on probation, no task is placed before this time.
     };
--- a/src/dispatch/DispatcherReports.cpp
+++ b/src/dispatch/DispatcherReports.cpp
@@ -27,6 +27,18 @@
     /// A latency-critical task is slow right after its start even without interference; its tail is ignored this long.
     constexpr Duration latencyCriticalWarmUp { 3000 };
 
+    /// A faulty worker fails its runs sooner than this after their start (observed: 200 ms).
+    constexpr Duration faultyRunTime { 1000 };
+
+    /// Whether the run shows that its host does not fail what it starts. A run that this owner has not ordered may be
+    /// older than the fault of the host, and a repeated reading does not show that the run is still at work.
+    bool showsSoundHost(const HostState& host, const HostRun& run, int64_t percent)
+    {
+        constexpr int64_t atWorkPercent = 100;
+        return run.longRunning && run.stage == HostRun::Stage::Ordered && percent >= atWorkPercent
+            && host.clockReadAt - run.seenAt >= faultyRunTime;
+    }
+
 } // namespace
 
 void Dispatcher::hostReported(const std::string& name, const HostReport& report)
@@ -367,6 +379,8 @@
     host.setSpeed(known, row.pace);
     moveIfPaused(host, known, *job, row);
     task->percent = row.percent;
+    if (showsSoundHost(host, known, row.percent))
+        m_ejector.noteAtWork(host.name, known.seenAt);
     if (!row.checkpoint.empty())
         task->checkpoint = row.checkpoint;
     const bool shouldStop = known.stopping || isFinal(job->phase());
--- a/tests/unit/DispatcherTest.cpp
+++ b/tests/unit/DispatcherTest.cpp
@@ -214,6 +214,69 @@
             return { number, order.task, order.attempt, reason, "" };
         }
 
+        /// A worker that fails each run 200 ms after its start while it is faulty.
+        struct FaultyWorker {
+            struct Run {
+                RunOrder order;
+                int64_t startedMs { 0 };
+                bool fails { false };
+            };
+
+            bool faulty { false };
+            int64_t nowMs { 0 };
+            size_t startsRead { 0 };
+            std::vector<Run> runs;
+            std::vector<RunEnd> ends;
+        };
+
+        /// Advances the time while `worker` obeys its orders as host-1 and reports every 100 ms.
+        void runWorker(Entry& entry, FaultyWorker& worker, Duration time)
+        {
+            constexpr int64_t failsAfterMs = 200;
+            constexpr int64_t startupMs = 400;
+            for (Duration passed { 0 }; passed < time; passed += Duration { 100 }) {
+                run(entry, Duration { 100 });
+                worker.nowMs += 100;
+                for (; worker.startsRead < entry.sender.starts.size(); ++worker.startsRead)
+                    worker.runs.push_back(
+                        { entry.sender.starts[worker.startsRead].second, worker.nowMs, worker.faulty });
+                std::erase_if(worker.runs, [&](const FaultyWorker::Run& run) {
+                    const bool hasFailed = run.fails && worker.nowMs - run.startedMs >= failsAfterMs;
+                    if (hasFailed)
+                        worker.ends.push_back(endOf(worker.ends.size() + 1, run.order, "failed"));
+                    return hasFailed;
+                });
+                HostReport report = reportOf("host-1");
+                report.clockMs += worker.nowMs;
+                report.ends = worker.ends;
+                for (const FaultyWorker::Run& run : worker.runs) {
+                    const int64_t percent = worker.nowMs - run.startedMs >= startupMs ? 100 : 50;
+                    report.running.push_back({ run.order.task, run.order.attempt, "", percent });
+                }
+                entry.dispatcher.hostReported("host-1", report);
+            }
+        }
+
+        /// Makes `entry` the owner of four hosts, of which only host-1 is connected; two jobs of four long-running
+        /// tasks have a run only there, and `worker` has failed all runs that it started for 6 s.
+        void failAllStarts(Entry& entry, FaultyWorker& worker)
+        {
+            append(hostKey("host-3"), hostValue({ "127.0.0.1:3", 1 }));
+            append(hostKey("host-4"), hostValue({ "127.0.0.1:4", 1 }));
+            becomeOwner(entry);
+            connect(entry, "host-1");
+            submit("old", { longRunningStep(500) });
+            runWorker(entry, worker, Duration { 2000 });
+            ASSERT_EQ(worker.runs.size(), 1u);
+            worker.faulty = true;
+            StepSpec step = longRunningStep(500);
+            step.tasks = 4;
+            submit("a", { step });
+            submit("b", { step });
+            runWorker(entry, worker, Duration { 6000 });
+            ASSERT_GE(worker.ends.size(), 8u);
+        }
+
         /// A best-effort task that needs all memory of a host.
         static StepSpec wholeHostStep(uint32_t tasks, int64_t estimateMs)
         {
@@ -1250,6 +1313,32 @@
         EXPECT_EQ(entry.sender.starts.size(), 3u);
     }
 
+    // Guards against tasks that last and come back only one every 4 s to a worker that is sound again: such a task
+    // never ends successfully, so the worker stayed on probation (review, the last of eight tasks after 36 s).
+    TEST_F(DispatcherTest, longRunningTasks_workerIsSoundAgain_allRunAfterOneProbe)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        FaultyWorker worker;
+        failAllStarts(entry, worker);
+        worker.faulty = false;
+        runWorker(entry, worker, Duration { 7000 });
+        EXPECT_EQ(worker.runs.size(), 9u);
+    }
+
+    // Guards against a faulty worker that is readmitted for a run that it started before it became faulty, or for one
+    // that it has not failed yet.
+    TEST_F(DispatcherTest, longRunningTasks_workerStaysFaulty_getsOneProbePerEjection)
+    {
+        Entry entry("entry-1", m_journal, m_timers, m_clock);
+        FaultyWorker worker;
+        failAllStarts(entry, worker);
+        const size_t before = entry.sender.starts.size();
+        runWorker(entry, worker, Duration { 30'000 });
+        EXPECT_EQ(worker.runs.size(), 1u);
+        EXPECT_GE(entry.sender.starts.size() - before, 6u);
+        EXPECT_LE(entry.sender.starts.size() - before, 8u);
+    }
+
     // Guards against counting a failure twice: the previous owner recorded the end but did not acknowledge it in time,
     // so the worker reports it to the next owner again.
     TEST_F(DispatcherTest, end_recordedByPreviousOwner_isNotCountedAgain)
--- a/tests/unit/PlacementTest.cpp
+++ b/tests/unit/PlacementTest.cpp
@@ -263,6 +263,42 @@
         EXPECT_FALSE(m_ejector.isEjected("h", after(30'002)));
     }
 
+    // Guards against a probation without end on a host whose runs do not end, and against one that is ended by a run
+    // from before the host became faulty.
+    TEST_F(StartEjectorTest, host_runAtWork_isReadmittedOnlyIfItStartedAfterTheLastFailure)
+    {
+        fail("h", 4, "a", 0);
+        fail("h", 1, "b", 1000);
+        m_ejector.noteAtWork("h", after(500));
+        m_ejector.noteAtWork("h", after(1000));
+        EXPECT_TRUE(m_ejector.isEjected("h", after(2000)));
+        m_ejector.notePlaced("h", after(31'000));
+        EXPECT_TRUE(m_ejector.isEjected("h", after(32'000)));
+        m_ejector.noteAtWork("h", after(31'200));
+        EXPECT_FALSE(m_ejector.isEjected("h", after(32'300)));
+    }
+
+    // Guards against failures that are counted for ever on a host whose long-running tasks work.
+    TEST_F(StartEjectorTest, host_runAtWorkBetweenFailures_countsFailuresAnew)
+    {
+        fail("h", 4, "a", 0);
+        m_ejector.noteAtWork("h", after(1000));
+        fail("h", 4, "b", 5000);
+        EXPECT_FALSE(m_ejector.isEjected("h", after(5000)));
+        fail("h", 1, "a", 5000);
+        EXPECT_TRUE(m_ejector.isEjected("h", after(5000)));
+    }
+
+    // Guards against a new owner that readmits a host for a run that its predecessor started there.
+    TEST_F(StartEjectorTest, adoptedEjection_runAtWorkFromBefore_staysEjected)
+    {
+        m_ejector.adopt("h", Duration { 4000 }, hosts, after(1000));
+        m_ejector.noteAtWork("h", after(1000));
+        EXPECT_TRUE(m_ejector.isEjected("h", after(2500)));
+        m_ejector.noteAtWork("h", after(1600));
+        EXPECT_FALSE(m_ejector.isEjected("h", after(2700)));
+    }
+
     // Guards against a fault of the tasks themselves that ejects all hosts.
     TEST_F(StartEjectorTest, ejections_atMost30Percent)
     {
