--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -225,8 +225,11 @@
     void placeLongRunningSteps(std::span<Job* const> jobs, const PlacementContext& context);
     StepPlacement beginPlacement(Job& job, uint32_t occurrence, uint32_t step, const PlacementContext& context);
     bool placeNextTask(StepPlacement& placement, const PlacementContext& context);
+    /// Indices of the tasks of the step to be placed, in the order in which room is given to them.
     std::vector<uint32_t> dueTasks(const Job& job, const StepSpec& spec, const StepState& state, Instant now) const;
-    const HostState* chooseHostFor(StepPlacement& placement, const PlacementContext& context);
+    /// Chooses the host for the next task, or null if none qualifies.
+    const HostState* chooseHostFor(const StepPlacement& placement, const PlacementContext& context);
+    /// Whether the next task may use room that is held for other tasks.
     bool mayUseHeldRoom(const StepPlacement& placement, const PlacementContext& context) const;
     /// Since when the next task has been without a run; the end of time if there is none.
     Instant nextWithoutRunSince(const StepPlacement& placement) const;
@@ -319,9 +322,11 @@
     SharingStep sharingStep(const Job& job, uint32_t occurrence, uint32_t step) const;
     /// Whether a host that is out of touch for the moment may have room for a task of the step.
     bool mayFindRoomSoon(const StepSpec& step) const;
+    /// Stops best-effort runs so that the next task gets their memory, if that is what it lacks.
     void takeMemory(const StepPlacement& placement, const PlacementContext& context);
     void dropEndedMemoryTransfers();
     bool mayStopForMemory(const HostRun& run) const;
+    /// The host on which memory has been made free for the next task, or null; ends the transfer.
     const HostState* hostWithTransferredMemory(const StepPlacement& placement, const PlacementContext& context);
     void makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context);
     void startTask(Job& job, const TaskId& id, TaskState& task, const HostState& host);
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -255,9 +255,7 @@
 
 bool Dispatcher::mayUseHeldRoom(const StepPlacement& placement, const PlacementContext& context) const
 {
-    const TaskState& task = placement.state().tasks[placement.due[placement.next]];
-    if (!placement.spec().longRunning
-        || context.now - withoutRunSince(*placement.job, task) < m_settings.maxTimeWithoutRun)
+    if (!placement.spec().longRunning || context.now - nextWithoutRunSince(placement) < m_settings.maxTimeWithoutRun)
         return false;
     constexpr uint32_t twice = 2;
     return countTasksThatFit(placement.spec(), placement.constraints, context, placement.limits, twice) == twice;
@@ -270,7 +268,7 @@
     return withoutRunSince(*placement.job, placement.state().tasks[placement.due[placement.next]]);
 }
 
-const HostState* Dispatcher::chooseHostFor(StepPlacement& placement, const PlacementContext& context)
+const HostState* Dispatcher::chooseHostFor(const StepPlacement& placement, const PlacementContext& context)
 {
     const StepSpec& spec = placement.spec();
     if (const HostState* host = chooseHost(spec, placement.constraints, context, placement.limits))
@@ -283,8 +281,6 @@
     constraints.mayUseHeldRoom = true;
     const HostState* host = chooseHost(spec, constraints, context, placement.limits);
     if (host) {
-        const TaskState& task = placement.state().tasks[placement.due[placement.next]];
-        const Duration withoutRun = context.now - withoutRunSince(*placement.job, task);
         m_counters.add("held_room_used");
         LogEvent(LogLevel::Info, "held_room_used")
             .field("job", placement.job->id())
@@ -292,7 +288,7 @@
             .field("step", placement.step)
             .field("host", host->name)
             .field("held_for", host->heldFor)
-            .field("without_run_ms", static_cast<int64_t>(withoutRun.count()));
+            .field("without_run_ms", static_cast<int64_t>((context.now - nextWithoutRunSince(placement)).count()));
     }
     return host;
 }
