--- a/src/dispatch/HostChooser.cpp
+++ b/src/dispatch/HostChooser.cpp
@@ -179,16 +179,14 @@
 {
     const Resources needed = reservation(step);
     constraints.mayUseHeldRoom = true;
+    constraints.tasksByHost.clear();
     uint32_t count = 0;
     for (const auto& [name, host] : context.hosts) {
         if (rejectionOf(host, step, constraints, context, limits) != HostRejection::None)
             continue;
         Resources room = host.free();
-        while (count < most && needed.fitsIn(room) && withinHostLimit(step, constraints, host)) {
+        for (; count < most && needed.fitsIn(room); room = room - needed)
             ++count;
-            ++constraints.tasksByHost[name];
-            room = room - needed;
-        }
         if (count == most)
             break;
     }
--- a/src/dispatch/HostChooser.h
+++ b/src/dispatch/HostChooser.h
@@ -77,7 +77,8 @@
 HostRejection rejectionOf(const HostState& host, const StepSpec& step, const PlacementConstraints& constraints,
     const PlacementContext& context, const BestEffortLimits& limits);
 
-/// How many tasks of the step fit on the hosts now if no room were held for others, at most `most`.
+/// How many tasks of the step fit on the hosts now if no room were held for others, at most `most`. The step's limit of
+/// tasks on one host does not count: users measure room by resources.
 uint32_t countTasksThatFit(const StepSpec& step, PlacementConstraints constraints, const PlacementContext& context,
     const BestEffortLimits& limits, uint32_t most);
 
--- a/tests/unit/HeldRoomTest.cpp
+++ b/tests/unit/HeldRoomTest.cpp
@@ -41,6 +41,24 @@
         EXPECT_LT(cluster.services().at("small").longestWaitWithRoom, maxWaitWithRoom);
     }
 
+    // Guards against room that stays empty as above where each host may run one task of the step only (review, case
+    // 15): the last task fits on one host, and twice by its processors.
+    TEST(HeldRoomTest, largeTasksWaitForLongRuns_youngerStepIsLimitedToOneTaskAHost_allItsTasksStart)
+    {
+        ClusterSimulation cluster { { .hosts = 3, .dataCentres = 1, .capacity = { 32'000, 128'000, 0 } } };
+        cluster.submit("short", tasks(3, 24'000), Duration { 40'000 });
+        cluster.run(Duration { 1000 });
+        StepSpec large = lastingTasks(3, 10'000);
+        large.maxPerHost = 1;
+        cluster.submit("large", large);
+        cluster.run(Duration { 1000 });
+        StepSpec small = lastingTasks(3, 4000);
+        small.maxPerHost = 1;
+        cluster.submit("small", small);
+        cluster.run(maxWaitWithRoom);
+        EXPECT_EQ(cluster.running("small"), 3u);
+    }
+
     // Guards against large tasks that starve because all room that is held for them is given to younger tasks.
     TEST(HeldRoomTest, largeTaskWaitsForShortRuns_manyYoungerTasksWait_getsTheRoomOnceTheRunsHaveEnded)
     {
