Share the set-up of the two tests of tasks that wait in turn

The two tests differed in how the first task loses its run and in which data centre returns. Both now use a fixture, TasksInTurnTest, under their former names; they were in HeldRoomTest. All assertions stay, and each test checks both tasks before the return.

--- a/tests/unit/HeldRoomTest.cpp
+++ b/tests/unit/HeldRoomTest.cpp
@@ -93,42 +93,52 @@
         EXPECT_EQ(cluster.services().at("filler").stops, 2u);
     }
 
+    /// Three hosts in data centres of their own, each full with one task of a job.
+    class TasksInTurnTest : public testing::Test {
+    protected:
+        TasksInTurnTest()
+        {
+            m_cluster.submit("watch", lastingTasks(3, 16'000));
+            m_cluster.run(Duration { 2000 });
+        }
+
+        /// Takes the run of task 1 by `loseFirst`, and that of task 0 by the loss of its data centre 10 s later.
+        void loseTasks(void (ClusterSimulation::*loseFirst)(uint32_t))
+        {
+            (m_cluster.*loseFirst)(1);
+            m_cluster.run(Duration { 10'000 });
+            ASSERT_FALSE(m_cluster.isRunning("watch", 1));
+            m_cluster.loseDataCentre(0);
+            m_cluster.run(Duration { 10'000 });
+            ASSERT_FALSE(m_cluster.isRunning("watch", 0));
+            ASSERT_FALSE(m_cluster.isRunning("watch", 1));
+        }
+
+        void expectTaskOneStartsIn(uint32_t dataCentre)
+        {
+            m_cluster.restoreDataCentre(dataCentre);
+            m_cluster.run(Duration { 1000 });
+            EXPECT_TRUE(m_cluster.isRunning("watch", 1));
+            EXPECT_FALSE(m_cluster.isRunning("watch", 0));
+        }
+
+        ClusterSimulation m_cluster { { .hosts = 3, .dataCentres = 3, .capacity = { 16'000, 64'000, 0 } } };
+    };
+
     // Guards against a task that never gets a run (LOST, issue 53): tasks of a step were tried by index, so those
     // before it got all room that came free, also when they had just lost their runs.
-    TEST(HeldRoomTest, roomForOneTaskComesFree_twoOfAStepWait_startsTheOneThatHasWaitedLonger)
+    TEST_F(TasksInTurnTest, roomForOneTaskComesFree_twoOfAStepWait_startsTheOneThatHasWaitedLonger)
     {
-        ClusterSimulation cluster { { .hosts = 3, .dataCentres = 3, .capacity = { 16'000, 64'000, 0 } } };
-        cluster.submit("watch", lastingTasks(3, 16'000));
-        cluster.run(Duration { 2000 });
-        cluster.loseDataCentre(1);
-        cluster.run(Duration { 10'000 });
-        ASSERT_FALSE(cluster.isRunning("watch", 1));
-        cluster.loseDataCentre(0);
-        cluster.run(Duration { 10'000 });
-        ASSERT_FALSE(cluster.isRunning("watch", 0));
-        cluster.restoreDataCentre(0);
-        cluster.run(Duration { 1000 });
-        EXPECT_TRUE(cluster.isRunning("watch", 1));
-        EXPECT_FALSE(cluster.isRunning("watch", 0));
+        ASSERT_NO_FATAL_FAILURE(loseTasks(&ClusterSimulation::loseDataCentre));
+        expectTaskOneStartsIn(0);
     }
 
     // Guards against a task that counts as having just lost its run because its host, which was cut off, reports the
     // end late (LOST, issue 53).
-    TEST(HeldRoomTest, hostIsBackAndReportsALapsedRun_twoOfAStepWait_startsTheOneThatHasWaitedLonger)
+    TEST_F(TasksInTurnTest, hostIsBackAndReportsALapsedRun_twoOfAStepWait_startsTheOneThatHasWaitedLonger)
     {
-        ClusterSimulation cluster { { .hosts = 3, .dataCentres = 3, .capacity = { 16'000, 64'000, 0 } } };
-        cluster.submit("watch", lastingTasks(3, 16'000));
-        cluster.run(Duration { 2000 });
-        cluster.cutOffDataCentre(1);
-        cluster.run(Duration { 10'000 });
-        cluster.loseDataCentre(0);
-        cluster.run(Duration { 10'000 });
-        ASSERT_FALSE(cluster.isRunning("watch", 0));
-        ASSERT_FALSE(cluster.isRunning("watch", 1));
-        cluster.restoreDataCentre(1);
-        cluster.run(Duration { 1000 });
-        EXPECT_TRUE(cluster.isRunning("watch", 1));
-        EXPECT_FALSE(cluster.isRunning("watch", 0));
+        ASSERT_NO_FATAL_FAILURE(loseTasks(&ClusterSimulation::cutOffDataCentre));
+        expectTaskOneStartsIn(1);
     }
 
 } // namespace
