--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -237,8 +237,7 @@
     bool isStepReady(const Job& job, const Occurrence& occurrence, uint32_t step) const;
     void openDueOccurrences(Job& job);
     PlacementConstraints constraintsOf(const Job& job, const StepState& state, const StepSpec& spec);
-    void holdHosts(const Job& job, StepState& state, const StepSpec& spec, const PlacementConstraints& constraints,
-        const PlacementContext& context);
+    void holdHosts(const StepPlacement& placement, const PlacementContext& context);
     /// Since when the task has had no run, as far as this owner knows.
     Instant withoutRunSince(const Job& job, const TaskState& task) const
     {
@@ -326,6 +325,8 @@
     void takeMemory(const StepPlacement& placement, const PlacementContext& context);
     void dropEndedMemoryTransfers();
     bool mayStopForMemory(const HostRun& run) const;
+    /// Whether the run is a best-effort one at work that may be stopped and resumed elsewhere from its checkpoint.
+    bool canResumeElsewhere(const HostRun& run) const;
     /// The host on which memory has been made free for the next task, or null; ends the transfer.
     const HostState* hostWithTransferredMemory(const StepPlacement& placement, const PlacementContext& context);
     void makeRoom(SharingStep& needy, std::vector<SharingStep>& steps, const PlacementContext& context);
--- a/src/dispatch/DispatcherOverload.cpp
+++ b/src/dispatch/DispatcherOverload.cpp
@@ -152,13 +152,13 @@
     std::vector<StoppableRun> candidates;
     for (auto& [name, host] : m_hosts.hosts()) {
         for (auto& [task, run] : host.runs) {
-            Job* job = m_registry.find(run.task.job);
-            if (!job || !run.bestEffort || run.longRunning || run.stopping || !run.seen || !givesWay(*job))
+            if (!canResumeElsewhere(run))
                 continue;
-            const StepSpec& spec = job->spec().steps[run.task.step];
-            const TaskState* state = job->find(run.task);
-            if (!spec.checkpoints || !state || state->moves >= m_settings.maxMoves)
+            Job& job = *m_registry.find(run.task.job);
+            if (!givesWay(job))
                 continue;
+            const StepSpec& spec = job.spec().steps[run.task.step];
+            const TaskState* state = job.find(run.task);
             // A run that is about to end frees its host by itself, and one that has just begun has been placed there
             // when no work in time could use the host.
             const Duration left = m_durations.estimate(spec) * (100 - state->percent) / 100;
--- a/src/dispatch/DispatcherPlacement.cpp
+++ b/src/dispatch/DispatcherPlacement.cpp
@@ -306,8 +306,8 @@
     const HostState* host = chooseHostFor(placement, context);
     if (!host) {
         placement.foundNoHost = true;
-        noteLackOfRoom(job, { job.id(), placement.occurrence, placement.step, 0 });
-        holdHosts(job, state, spec, placement.constraints, context);
+        noteLackOfRoom(job, placement.firstTask());
+        holdHosts(placement, context);
         takeMemory(placement, context);
         return false;
     }
@@ -339,7 +339,7 @@
     StepState& state = placement.state();
     if (!placement.placed.empty())
         state.heldSince.reset();
-    const TaskId firstTask { job.id(), placement.occurrence, placement.step, 0 };
+    const TaskId firstTask = placement.firstTask();
     if (placement.foundNoHost) {
         m_waitingSteps.noteWaiting(firstTask, spec, state, longestTimeWithoutRun(job, state, context.now),
             placement.constraints, context, placement.limits);
@@ -362,19 +362,20 @@
         .field("hosts", placement.placed);
 }
 
-void Dispatcher::holdHosts(const Job& job, StepState& state, const StepSpec& spec,
-    const PlacementConstraints& constraints, const PlacementContext& context)
+void Dispatcher::holdHosts(const StepPlacement& placement, const PlacementContext& context)
 {
+    const StepSpec& spec = placement.spec();
+    StepState& state = placement.state();
     // Short tasks and best-effort tasks soon find room again.
     if (!spec.longRunning || spec.bestEffort)
         return;
     // Long-running tasks never fail for good, so each of the step's tasks without a run needs a host.
-    const std::vector<std::string> held = chooseHostsToHold(spec, constraints, context, state.waiting());
+    const std::vector<std::string> held = chooseHostsToHold(spec, placement.constraints, context, state.waiting());
     for (const std::string& name : held) {
         HostState& host = m_hosts.host(name);
         host.held = host.held + spec.resources;
         if (host.heldFor.empty())
-            host.heldFor = job.id();
+            host.heldFor = placement.job->id();
     }
     if (held.empty()) {
         if (!state.noRoomSince)
--- a/src/dispatch/DispatcherRoom.cpp
+++ b/src/dispatch/DispatcherRoom.cpp
@@ -127,15 +127,20 @@
     });
 }
 
-bool Dispatcher::mayStopForMemory(const HostRun& run) const
+bool Dispatcher::canResumeElsewhere(const HostRun& run) const
 {
     Job* job = m_registry.find(run.task.job);
     if (!job || !run.bestEffort || run.longRunning || run.stopping || !run.seen)
         return false;
-    const StepSpec& step = job->spec().steps[run.task.step];
     const TaskState* task = job->find(run.task);
-    // Without checkpoints a stop would discard the progress, and the end of one member breaks the run of a gang.
-    return step.checkpoints && !step.gang && task && task->moves < m_settings.maxMoves;
+    // Without checkpoints a stop would discard the progress.
+    return job->spec().steps[run.task.step].checkpoints && task && task->moves < m_settings.maxMoves;
+}
+
+bool Dispatcher::mayStopForMemory(const HostRun& run) const
+{
+    // The end of one member breaks the run of a gang.
+    return canResumeElsewhere(run) && !m_registry.find(run.task.job)->spec().steps[run.task.step].gang;
 }
 
 const HostState* Dispatcher::hostWithTransferredMemory(const StepPlacement& placement, const PlacementContext& context)
--- a/src/dispatch/WaitingStepLog.cpp
+++ b/src/dispatch/WaitingStepLog.cpp
@@ -57,12 +57,9 @@
         .field("memory_mib", step.resources.memoryMib)
         .field("free_cpu_milli", free.cpuMilli)
         .field("free_memory_mib", free.memoryMib)
-        .field("best_effort_memory_mib", bestEffortMemoryMib);
-    const auto sinceMs = [&](const std::optional<Instant>& since) {
-        return static_cast<int64_t>(since ? (context.now - *since).count() : 0);
-    };
-    event.field("without_run_ms", static_cast<int64_t>(longestWithoutRun.count()))
-        .field("holding_ms", sinceMs(stepState.heldSince))
+        .field("best_effort_memory_mib", bestEffortMemoryMib)
+        .field("without_run_ms", static_cast<int64_t>(longestWithoutRun.count()))
+        .field("holding_ms", static_cast<int64_t>((context.now - stepState.heldSince.value_or(context.now)).count()))
         .field("held_for", heldFor);
     for (size_t reason = 0; reason < hostRejectionCount; ++reason)
         event.field(rejectionNames[reason], hosts[reason]);
